--- /dev/null
+++ b/src/bin/fulmardrift.rs
@@ -0,0 +1,7 @@
+//! The operators' command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    fulmardrift::tool(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/src/cmd/table.rs
@@ -0,0 +1,24 @@
+//! Tables for people, JSON for scripts.
+
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use serde::Serialize;
+
+use super::{CmdResult, failed};
+
+/// Prints rows as a plain table.
+pub(crate) fn print_table(header: &[&str], rows: &[Vec<String>]) {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header(header);
+    for row in rows {
+        table.add_row(row);
+    }
+    println!("{table}");
+}
+
+/// Prints a value as JSON.
+pub(crate) fn print_json(value: &impl Serialize) -> CmdResult {
+    println!("{}", serde_json::to_string_pretty(value).map_err(failed)?);
+    Ok(())
+}
--- /dev/null
+++ b/src/core/dispatching.rs
@@ -0,0 +1,479 @@
+//! Sending an entry's tasks out, and taking in what agents say of them.
+
+use super::chart::ChartError;
+use super::clock::Millis;
+use super::entry::{Entry, EntryOutput, Out};
+use super::gate::{Dispatch, Fate, NotRun, Verdict};
+use super::ids::{Incarnation, Number};
+use super::job::{Answer, Failure, Handle, JobState, Kind, Step};
+use super::place::{Place, Policy, Pool};
+use super::queue::Queue;
+
+/// Where a free slot was left idle on purpose, credits are not asked for again
+/// for so long.
+const DECLINE_PAUSE: Millis = Millis(200);
+
+/// A task and where it goes.
+#[derive(Debug, Clone, Copy)]
+struct Pick {
+    handle: Handle,
+    task: u32,
+    agent: Incarnation,
+    run: f64,
+}
+
+impl Entry {
+    /// Expected wait of a new submission, from the work queued for its service.
+    pub(crate) fn expected_wait(&self, service: &str) -> Millis {
+        let service = service.to_owned();
+        let (Some(pool), Some(queue)) = (self.pools.get(&service), self.queues.get(&service))
+        else {
+            return Millis(0);
+        };
+        let slots = pool.slots();
+        if slots == 0 {
+            return Millis(0);
+        }
+        let work: f64 = queue
+            .handles()
+            .filter_map(|h| self.jobs.get(&h))
+            .map(|j| j.work)
+            .sum();
+        to_millis(work / f64::from(slots))
+    }
+
+    /// Puts a job's waiting tasks into the queue, the longest first.
+    pub(crate) fn enqueue(&mut self, now: Millis, handle: Handle) {
+        let policy = self.limits.policy;
+        let Some(job) = self.jobs.get(&handle) else {
+            return;
+        };
+        let service = job.service.clone();
+        let count = job.tasks.len();
+        let draws: Vec<usize> = match policy {
+            Policy::LeastFinish | Policy::LeastOutstanding => Vec::new(),
+            Policy::Random | Policy::TwoProbes => {
+                (0..2 * count).map(|_| self.draw(usize::MAX)).collect()
+            }
+        };
+        let pool = self.pools.or_insert_with(service.clone(), Pool::default);
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return;
+        };
+        let mut draws = draws.into_iter();
+        job.waiting.clear();
+        job.work = 0.0;
+        for (i, task) in job.tasks.iter_mut().enumerate() {
+            if task.step != Step::Waiting {
+                continue;
+            }
+            // A task that was tried before only waits again when it is not the
+            // last try of a request.
+            if i + 1 < count && matches!(job.kind, Kind::Request { .. }) {
+                continue;
+            }
+            task.pins = pool.bind(policy, |below| draws.next().unwrap_or(0) % below);
+            job.work += pool.estimator.typical(task.declared);
+            job.waiting.push(u32::try_from(i).unwrap_or(u32::MAX));
+        }
+        let tasks = &job.tasks;
+        let length = |i: &u32| pool.estimator.typical(tasks[*i as usize].declared);
+        job.waiting
+            .sort_by(|a, b| length(a).total_cmp(&length(b)).then(b.cmp(a)));
+        let alone = job.work / f64::from(pool.slots().max(1));
+        job.rank = match policy {
+            Policy::LeastFinish => now.0 + to_millis(alone * self.limits.stretch).0,
+            _ => job.arrived.0,
+        };
+        if !job.waiting.is_empty() {
+            let queue = self.queues.or_insert_with(service, Queue::default);
+            queue.insert(&job.key.team, job.rank, handle);
+        }
+    }
+
+    /// Sends out whatever has a place now, and asks for credits for the rest.
+    pub(crate) fn assign(&mut self, now: Millis, out: &mut Vec<EntryOutput>) {
+        if now >= self.lease {
+            return;
+        }
+        let services: Vec<String> = self.queues.iter().map(|(s, _)| s.clone()).collect();
+        for service in services {
+            for pick in self.picks(now, &service) {
+                self.send(now, &service, pick, out);
+            }
+            self.ask_credits(now, &service, out);
+        }
+    }
+
+    fn picks(&mut self, now: Millis, service: &String) -> Vec<Pick> {
+        let mut picks = Vec::new();
+        let (Some(pool), Some(queue)) = (self.pools.get(service), self.queues.get(service)) else {
+            return picks;
+        };
+        if queue.is_empty() {
+            return picks;
+        }
+        let Some(mut view) = pool.view(now, &self.home) else {
+            return picks;
+        };
+        let bound = self.limits.policy != Policy::LeastFinish;
+        let teams = &self.teams;
+        let mut cursor = queue.cursor(|team| Self::allowance(teams, team));
+        let mut looked = 0;
+        while !view.is_full() && (bound || looked < self.limits.lookahead) {
+            let Some((handle, nth)) = cursor.peek() else {
+                break;
+            };
+            let Some(job) = self.jobs.get(&handle) else {
+                cursor.pass(0.0, true);
+                continue;
+            };
+            let last = nth + 1 >= job.waiting.len();
+            let Some(index) = job
+                .waiting
+                .len()
+                .checked_sub(nth + 1)
+                .map(|i| job.waiting[i])
+            else {
+                cursor.pass(0.0, true);
+                continue;
+            };
+            let task = &job.tasks[index as usize];
+            let place = if view.has(&task.pins) {
+                view.place_bound(&pool.estimator, task.declared, &task.pins)
+            } else {
+                view.place(&pool.estimator, task.declared)
+            };
+            if let Place::Now { agent, run } = place {
+                picks.push(Pick {
+                    handle,
+                    task: index,
+                    agent,
+                    run,
+                });
+            }
+            cursor.pass(pool.estimator.typical(task.declared), last);
+            looked += 1;
+        }
+        let idle: Vec<Incarnation> = view.idle().collect();
+        self.note_idle(now, service, &idle);
+        picks
+    }
+
+    fn note_idle(&mut self, now: Millis, service: &String, idle: &[Incarnation]) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            for agent in idle {
+                if let Some(server) = pool.servers.get_mut(agent) {
+                    server.declined = Some(now);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, now: Millis, service: &String, pick: Pick, out: &mut Vec<EntryOutput>) {
+        let (Some(job), Some(pool)) =
+            (self.jobs.get_mut(&pick.handle), self.pools.get_mut(service))
+        else {
+            return;
+        };
+        let Some(server) = pool.servers.get_mut(&pick.agent) else {
+            return;
+        };
+        self.last = Number(self.last.0 + 1);
+        let number = self.last;
+        server.sent(now, number, pick.run);
+        let cost = pool
+            .estimator
+            .typical(job.tasks[pick.task as usize].declared);
+        job.tasks[pick.task as usize].step = Step::Out(number);
+        job.waiting.retain(|task| *task != pick.task);
+        job.work = (job.work - cost).max(0.0);
+        *job.agents.or_insert_with(pick.agent, || 0) += 1;
+        let share = Self::allowance(&self.teams, &job.key.team).share;
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.charge(&job.key.team, cost / share);
+            if job.waiting.is_empty() {
+                queue.remove(&job.key.team, job.rank, pick.handle);
+            }
+        }
+        let kind = job.kind;
+        self.teams
+            .or_insert_with(job.key.team.clone(), Default::default)
+            .running += 1;
+        let sent = Out {
+            handle: pick.handle,
+            task: pick.task,
+            agent: pick.agent,
+        };
+        self.out.insert(number, sent);
+        self.counts.dispatched += 1;
+        if let Some(order) = self.order(number, sent) {
+            out.push(EntryOutput::Dispatch(pick.handle, kind, order));
+        }
+    }
+
+    /// The dispatch message for a task that is out.
+    pub(crate) fn order(&self, number: Number, sent: Out) -> Option<Dispatch> {
+        let job = self.jobs.get(&sent.handle)?;
+        let server = self.pools.get(&job.service)?.servers.get(&sent.agent)?;
+        let payload = job.tasks.get(sent.task as usize).map(|t| t.payload.clone());
+        Some(Dispatch {
+            number,
+            job: job.key.clone(),
+            task: sent.task,
+            generation: job.generation,
+            entry: self.incarnation,
+            agent: sent.agent,
+            stamp: server.stamp,
+            payload: payload.unwrap_or_default(),
+        })
+    }
+
+    fn ask_credits(&mut self, now: Millis, service: &String, out: &mut Vec<EntryOutput>) {
+        let (Some(pool), Some(queue)) = (self.pools.get_mut(service), self.queues.get(service))
+        else {
+            return;
+        };
+        let jobs = queue.handles().filter_map(|h| self.jobs.get(&h));
+        let waiting: usize = jobs.map(|job| job.waiting.len()).sum();
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        for (agent, server) in pool.servers.iter_mut() {
+            let declined = server
+                .declined
+                .is_some_and(|at| now.since(at) < DECLINE_PAUSE);
+            let hungry = waiting > 0 && server.credits == 0 && !declined;
+            let live = server.linked && server.open;
+            if live && hungry && server.wanted == 0 {
+                server.wanted = waiting;
+                self.counts.credit_messages += 1;
+                out.push(EntryOutput::Want(*agent, waiting));
+            } else if live && waiting == 0 && server.wanted > 0 {
+                server.wanted = 0;
+                self.counts.credit_messages += 1;
+                out.push(EntryOutput::Want(*agent, 0));
+            }
+        }
+    }
+
+    pub(crate) fn team_freed(&mut self, handle: Handle) {
+        if let Some(job) = self.jobs.get(&handle)
+            && let Some(team) = self.teams.get_mut(&job.key.team)
+        {
+            team.running = team.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes an agent's word in; one that matches nothing out is dropped.
+    pub(crate) fn verdict(
+        &mut self,
+        now: Millis,
+        verdict: Verdict,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(sent) = self.matching(&verdict) else {
+            self.counts.strays += 1;
+            return Ok(());
+        };
+        match verdict.fate {
+            Fate::Queued => Ok(()),
+            Fate::Running => {
+                if let Some(job) = self.jobs.get_mut(&sent.handle) {
+                    job.started = true;
+                }
+                Ok(())
+            }
+            Fate::NotRun(reason) => {
+                self.take_back(now, verdict.number, sent, reason, out);
+                Ok(())
+            }
+            fate => self.ended(now, verdict.number, sent, fate, out),
+        }
+    }
+
+    fn matching(&self, verdict: &Verdict) -> Option<Out> {
+        let sent = *self.out.get(&verdict.number)?;
+        let job = self.jobs.get(&sent.handle);
+        let same_job =
+            job.is_none_or(|j| j.key == verdict.job && j.generation == verdict.generation);
+        let same_task = sent.task == verdict.task && sent.agent == verdict.agent;
+        (same_job && same_task).then_some(sent)
+    }
+
+    /// The dispatch is over, whatever its end.
+    fn close(&mut self, number: Number, sent: Out) {
+        self.out.remove(&number);
+        self.team_freed(sent.handle);
+        if let Some(server) = self.server(sent.agent) {
+            server.over(number);
+            server.bound = server.bound.saturating_sub(1);
+        }
+        if let Some(job) = self.jobs.get_mut(&sent.handle)
+            && let Some(count) = job.agents.get_mut(&sent.agent)
+        {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    /// A dispatch was not run: its task waits again.
+    fn take_back(
+        &mut self,
+        now: Millis,
+        number: Number,
+        sent: Out,
+        reason: NotRun,
+        out: &mut Vec<EntryOutput>,
+    ) {
+        self.counts.returned += 1;
+        self.close(number, sent);
+        if let Some(server) = self.server(sent.agent) {
+            server.breaker.returned();
+            let closed = matches!(reason, NotRun::Out | NotRun::Leaving | NotRun::NoLease);
+            if closed && server.credits > 0 {
+                out.push(EntryOutput::GiveBack(sent.agent, server.credits));
+                server.credits = 0;
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&sent.handle) else {
+            return;
+        };
+        if job.answer.is_some() || job.state != JobState::Running {
+            return;
+        }
+        job.tasks[sent.task as usize].step = Step::Waiting;
+        let service = job.service.clone();
+        let (team, rank) = (job.key.team.clone(), job.rank);
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.remove(&team, rank, sent.handle);
+        }
+        self.enqueue(now, sent.handle);
+    }
+
+    fn ended(
+        &mut self,
+        now: Millis,
+        number: Number,
+        sent: Out,
+        fate: Fate,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        self.close(number, sent);
+        self.learn(now, sent, &fate);
+        let Some(job) = self.jobs.get_mut(&sent.handle) else {
+            return Ok(());
+        };
+        if job.answer.is_some() {
+            return Ok(());
+        }
+        job.started = true;
+        match fate {
+            Fate::Done { body, .. } => {
+                job.tasks[sent.task as usize].step = Step::Done(body);
+                job.done += 1;
+                let request = matches!(job.kind, Kind::Request { .. });
+                if job.is_whole() || request {
+                    let answer = Answer::Complete(job.results());
+                    return self.settle(now, sent.handle, answer, out);
+                }
+                Ok(())
+            }
+            Fate::Failed { reason, .. } => {
+                if self.retry(now, sent.handle) {
+                    return Ok(());
+                }
+                let failure = Failure::Task {
+                    task: sent.task,
+                    reason,
+                };
+                self.settle(now, sent.handle, Answer::Failed(failure), out)
+            }
+            Fate::NotRun(_) | Fate::Queued | Fate::Running => Ok(()),
+        }
+    }
+
+    fn learn(&mut self, now: Millis, sent: Out, fate: &Fate) {
+        let Some(job) = self.jobs.get(&sent.handle) else {
+            return;
+        };
+        let declared = job.tasks.get(sent.task as usize).and_then(|t| t.declared);
+        let Some(pool) = self.pools.get_mut(&job.service) else {
+            return;
+        };
+        match fate {
+            Fate::Done { run, .. } => {
+                pool.estimator.learn(sent.agent, declared, *run);
+                if let Some(server) = pool.servers.get_mut(&sent.agent) {
+                    server.breaker.succeeded();
+                }
+            }
+            Fate::Failed { .. } => {
+                if let Some(server) = pool.servers.get_mut(&sent.agent) {
+                    server.breaker.failed(now);
+                }
+            }
+            Fate::NotRun(_) | Fate::Queued | Fate::Running => {}
+        }
+    }
+
+    /// Takes over one task that the former owner had sent to `agent`.
+    pub(crate) fn adopt(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        agent: Incarnation,
+        verdict: Verdict,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        let Some(task) = job.tasks.get_mut(verdict.task as usize) else {
+            return Ok(());
+        };
+        job.agents.or_insert_with(agent, || 0);
+        match verdict.fate {
+            Fate::NotRun(_) => Ok(()),
+            Fate::Queued | Fate::Running => {
+                self.last = Number(self.last.0 + 1);
+                task.step = Step::Out(self.last);
+                job.started = true;
+                *job.agents.or_insert_with(agent, || 0) += 1;
+                let sent = Out {
+                    handle,
+                    task: verdict.task,
+                    agent,
+                };
+                self.out.insert(self.last, sent);
+                let team = job.key.team.clone();
+                self.teams.or_insert_with(team, Default::default).running += 1;
+                if let Some(order) = self.order(self.last, sent) {
+                    out.push(EntryOutput::Ask(agent, vec![order]));
+                }
+                Ok(())
+            }
+            Fate::Done { body, .. } => {
+                if !matches!(task.step, Step::Done(_)) {
+                    task.step = Step::Done(body);
+                    job.started = true;
+                    job.done += 1;
+                }
+                Ok(())
+            }
+            Fate::Failed { reason, .. } => {
+                job.started = true;
+                let failure = Failure::Task {
+                    task: verdict.task,
+                    reason,
+                };
+                self.settle(now, handle, Answer::Failed(failure), out)
+            }
+        }
+    }
+}
+
+/// A length in whole milliseconds; what is out of range is cut to it.
+fn to_millis(ms: f64) -> Millis {
+    // The cast saturates.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = ms.max(0.0) as u64;
+    Millis(whole)
+}
--- /dev/null
+++ b/src/core/entry.rs
@@ -0,0 +1,950 @@
+//! The entry: owns jobs from claim to answer.
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use super::chart::{Chart, ChartError};
+use super::clock::Millis;
+use super::gate::{Dispatch, Verdict};
+use super::ids::{Generation, Incarnation, JobKey, Number};
+use super::job::{
+    Answer, Failure, Handle, Job, JobEvent, JobState, Kind, Refusal, Step, Submission,
+};
+use super::place::{Policy, Pool, Server};
+use super::queue::{Allowance, Queue};
+use super::table::Table;
+
+const JOB_CHART: &str = include_str!("../../charts/job.toml");
+/// Share of requests that may be retried.
+const RETRY_SHARE: f64 = 0.1;
+/// Most retries saved up.
+const RETRY_BURST: f64 = 10.0;
+
+/// Bounds and weights an entry works with.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct EntryLimits {
+    /// How places are chosen.
+    pub policy: Policy,
+    /// Rank of a job: arrival plus so many times its time alone on all slots.
+    pub stretch: f64,
+    /// A submission that would wait longer is refused.
+    pub max_wait: Millis,
+    /// A submission that no known backend server can run is refused after this.
+    pub grace: Millis,
+    /// Answers are kept for so long.
+    pub retain: Millis,
+    /// Tasks looked at in one placing round.
+    pub lookahead: usize,
+    /// Seed of the baseline policies' draws.
+    pub seed: u64,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            policy: Policy::LeastFinish,
+            stretch: 3.0,
+            max_wait: Millis(60_000),
+            grace: Millis(5_000),
+            retain: Millis(60_000),
+            lookahead: 256,
+            seed: 1,
+        }
+    }
+}
+
+/// What control said of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claimed {
+    /// The job is this entry's and new.
+    Granted(Generation),
+    /// Another live entry owns it.
+    Attached,
+    /// The key was used with another payload.
+    Conflict,
+    /// The claim moved here.
+    TakenOver {
+        /// The new generation.
+        generation: Generation,
+        /// Live agents that may hold tasks of it.
+        agents: Vec<Incarnation>,
+        /// True when an agent that may have run tasks of it is lost.
+        lost: bool,
+        /// The recorded outcome: whether it was complete.
+        settled: Option<bool>,
+    },
+    /// Control could not be reached in time.
+    Unknown,
+}
+
+/// A team's rights at this entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TeamRights {
+    /// The team.
+    pub team: String,
+    /// Weight in the fair share.
+    pub share: u32,
+    /// Most tasks running at a time through this entry.
+    pub cap: Option<u32>,
+}
+
+/// What reaches an entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum EntryInput {
+    /// A caller submits.
+    Submit(Submission),
+    /// A caller waits for a job already submitted.
+    Poll(Handle, JobKey),
+    /// A caller cancels.
+    Cancel(JobKey),
+    /// Control's word on a claim.
+    Claimed(Handle, Claimed),
+    /// The owner of an attached job answered.
+    Relayed(Handle, u16, Bytes),
+    /// The owner of an attached job cannot be reached, or disowns it.
+    Reclaim(Handle),
+    /// An agent listed what it knows of a job; `None`: the agent is lost.
+    Inventory(Handle, Incarnation, Option<Vec<Verdict>>),
+    /// The directory shows an agent.
+    AgentUp {
+        /// Its incarnation.
+        agent: Incarnation,
+        /// The service it runs.
+        service: String,
+        /// Where it is.
+        data_centre: String,
+        /// False while settings take it out.
+        open: bool,
+    },
+    /// Control declared an agent dead.
+    AgentDead(Incarnation),
+    /// The link to an agent is up.
+    Linked(Incarnation, u32, Millis),
+    /// The link to an agent is gone.
+    Unlinked(Incarnation),
+    /// The agent's clock, and credits from it.
+    Credits(Incarnation, u32, Millis),
+    /// The agent wants so many credits back.
+    Recall(Incarnation, u32),
+    /// The agent's word on a dispatch.
+    Verdict(Verdict),
+    /// A lease from control.
+    Lease(Millis),
+    /// Control declared this entry dead and gave it a new incarnation.
+    Rejoined(Incarnation),
+    /// The teams in the settings.
+    Teams(Vec<TeamRights>),
+    /// Bounds from the settings.
+    Limits(EntryLimits),
+    /// The entry stops: nothing new.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// What an entry does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum EntryOutput {
+    /// Claim the key in the control log.
+    Claim(Handle, JobKey, Vec<u8>),
+    /// Send a dispatch.
+    Dispatch(Handle, Kind, Dispatch),
+    /// Ask an agent what became of dispatches.
+    Ask(Incarnation, Vec<Dispatch>),
+    /// Tell an agent how many tasks wait.
+    Want(Incarnation, u32),
+    /// Return unused credits.
+    GiveBack(Incarnation, u32),
+    /// Withdraw a job at an agent.
+    Cancel(Incarnation, JobKey, Generation),
+    /// Ask an agent what it knows of a job, and fence older generations.
+    Inventory(Handle, Incarnation, JobKey, Generation),
+    /// Wait for the owner's answer.
+    Attach(Handle, JobKey),
+    /// Write the outcome to the control log and tell the agents it is there.
+    Record {
+        /// The job.
+        key: JobKey,
+        /// Its generation.
+        generation: Generation,
+        /// Complete, failed or refused.
+        outcome: JobState,
+        /// Agents that keep results of it.
+        agents: Vec<Incarnation>,
+    },
+    /// Answer a caller.
+    Answer(Handle, Answer),
+}
+
+/// Counts since the start of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct EntryCounts {
+    /// Dispatches sent.
+    pub dispatched: u64,
+    /// Dispatches that came back as not run.
+    pub returned: u64,
+    /// Verdicts that matched nothing.
+    pub strays: u64,
+    /// Requests retried.
+    pub retried: u64,
+    /// Messages about credits, in both directions.
+    pub credit_messages: u64,
+}
+
+/// A dispatch without its final verdict.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Out {
+    pub(crate) handle: Handle,
+    pub(crate) task: u32,
+    pub(crate) agent: Incarnation,
+}
+
+/// A team's rights and what it uses.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Team {
+    share: u32,
+    cap: Option<u32>,
+    pub(crate) running: u32,
+}
+
+/// An entry's decisions.
+#[derive(Debug)]
+pub struct Entry {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) home: String,
+    pub(crate) limits: EntryLimits,
+    pub(crate) lease: Millis,
+    stopping: bool,
+    chart: Chart<JobState, JobEvent>,
+    pub(crate) jobs: Table<Handle, Job>,
+    keys: Table<JobKey, Handle>,
+    pub(crate) pools: Table<String, Pool>,
+    pub(crate) queues: Table<String, Queue>,
+    pub(crate) teams: Table<String, Team>,
+    pub(crate) out: Table<Number, Out>,
+    pub(crate) last: Number,
+    // Settled, but the lease has lapsed.
+    held: Vec<Handle>,
+    retries: f64,
+    rng: Pcg64Mcg,
+    pub(crate) counts: EntryCounts,
+}
+
+impl Entry {
+    /// An entry that knows no agents and holds no lease.
+    ///
+    /// # Errors
+    ///
+    /// `charts/job.toml` is unusable.
+    pub fn new(
+        incarnation: Incarnation,
+        home: &str,
+        limits: EntryLimits,
+    ) -> Result<Self, ChartError> {
+        Ok(Self {
+            incarnation,
+            home: home.to_owned(),
+            limits,
+            lease: Millis(0),
+            stopping: false,
+            chart: Chart::parse(JOB_CHART)?,
+            jobs: Table::default(),
+            keys: Table::default(),
+            pools: Table::default(),
+            queues: Table::default(),
+            teams: Table::default(),
+            out: Table::default(),
+            last: Number(0),
+            held: Vec::new(),
+            retries: RETRY_BURST,
+            rng: Pcg64Mcg::seed_from_u64(limits.seed),
+            counts: EntryCounts::default(),
+        })
+    }
+
+    /// Takes one input at `now` and appends what is to be done to `out`.
+    ///
+    /// ```
+    /// use fulmardrift::{Entry, EntryInput, EntryLimits, Incarnation, JobKey, Millis};
+    /// let mut entry = Entry::new(Incarnation(1), "dc1", EntryLimits::default()).unwrap();
+    /// let mut out = Vec::new();
+    /// entry.step(Millis(0), EntryInput::Lease(Millis(3_000)), &mut out).unwrap();
+    /// assert!(out.is_empty());
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// A job's chart has no transition for the input, which is then ignored.
+    pub fn step(
+        &mut self,
+        now: Millis,
+        input: EntryInput,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        match input {
+            EntryInput::Submit(submission) => self.submit(now, submission, out),
+            EntryInput::Poll(waiter, key) => self.poll(waiter, &key, out),
+            EntryInput::Cancel(key) => self.cancel(now, &key, out)?,
+            EntryInput::Claimed(handle, claimed) => self.claimed(now, handle, claimed, out)?,
+            EntryInput::Relayed(handle, status, body) => {
+                self.relayed(now, handle, status, body, out)?;
+            }
+            EntryInput::Reclaim(handle) => self.reclaim(handle, out)?,
+            EntryInput::Inventory(handle, agent, tasks) => {
+                self.inventory(now, handle, agent, tasks, out)?;
+            }
+            EntryInput::AgentUp {
+                agent,
+                service,
+                data_centre,
+                open,
+            } => {
+                self.agent_up(agent, service, data_centre, open, out);
+            }
+            EntryInput::AgentDead(agent) => self.agent_dead(now, agent, out)?,
+            EntryInput::Linked(agent, slots, stamp) => self.linked(agent, slots, stamp, out),
+            EntryInput::Unlinked(agent) => self.unlinked(agent),
+            EntryInput::Credits(agent, count, stamp) => self.credits(agent, count, stamp),
+            EntryInput::Recall(agent, count) => self.recall(agent, count, out),
+            EntryInput::Verdict(verdict) => self.verdict(now, verdict, out)?,
+            EntryInput::Lease(until) => {
+                self.lease = self.lease.max(until);
+                self.release_held(now, out);
+            }
+            EntryInput::Rejoined(incarnation) => self.rejoined(now, incarnation, out)?,
+            EntryInput::Teams(rights) => self.set_teams(rights),
+            EntryInput::Limits(limits) => self.limits = limits,
+            EntryInput::Stop => self.stopping = true,
+            EntryInput::Tick => self.tick(now, out)?,
+        }
+        self.assign(now, out);
+        Ok(())
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counts(&self) -> EntryCounts {
+        self.counts
+    }
+
+    /// True when no caller waits for an answer.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.jobs.iter().all(|(_, job)| job.answer.is_some()) && self.held.is_empty()
+    }
+
+    /// Number of dispatches without a final verdict.
+    #[must_use]
+    pub fn outstanding(&self) -> usize {
+        self.out.len()
+    }
+
+    pub(crate) fn draw(&mut self, below: usize) -> usize {
+        self.rng.random_range(0..below)
+    }
+
+    pub(crate) fn allowance(teams: &Table<String, Team>, team: &str) -> Allowance {
+        match teams.get(&team.to_owned()) {
+            None => Allowance {
+                share: 1.0,
+                room: None,
+            },
+            Some(t) => Allowance {
+                share: f64::from(t.share.max(1)),
+                room: t.cap.map(|cap| cap.saturating_sub(t.running)),
+            },
+        }
+    }
+
+    fn set_teams(&mut self, rights: Vec<TeamRights>) {
+        for (_, team) in self.teams.iter_mut() {
+            team.cap = None;
+            team.share = 1;
+        }
+        for right in rights {
+            let team = self.teams.or_insert_with(right.team, Team::default);
+            team.share = right.share;
+            team.cap = right.cap;
+        }
+    }
+
+    fn submit(&mut self, now: Millis, submission: Submission, out: &mut Vec<EntryOutput>) {
+        let handle = submission.handle;
+        if let Some(known) = self.keys.get(&submission.key).copied()
+            && !self.forget_refused(known)
+        {
+            self.join(
+                handle,
+                known,
+                submission.digest.as_deref(),
+                submission.deadline,
+                out,
+            );
+            return;
+        }
+        if let Some((refusal, retry)) = self.turn_away(&submission) {
+            out.push(EntryOutput::Answer(handle, Answer::Refused(refusal, retry)));
+            return;
+        }
+        if let Kind::Request { .. } = submission.kind {
+            self.retries = (self.retries + RETRY_SHARE).min(RETRY_BURST);
+        }
+        self.keys.insert(submission.key.clone(), handle);
+        let mut job = Job::new(now, submission);
+        if let Some(digest) = &job.digest {
+            out.push(EntryOutput::Claim(handle, job.key.clone(), digest.clone()));
+        } else {
+            // No one else can name this job, so there is nothing to claim.
+            job.state = JobState::Running;
+        }
+        let ready = job.state == JobState::Running;
+        self.jobs.insert(handle, job);
+        if ready {
+            self.enqueue(now, handle);
+        }
+    }
+
+    /// Drops a refused job, so that its key can be submitted anew.
+    fn forget_refused(&mut self, handle: Handle) -> bool {
+        let refused = |job: &Job| matches!(job.answer, Some(Answer::Refused(..)));
+        if !self.jobs.get(&handle).is_some_and(refused) {
+            return false;
+        }
+        if let Some(job) = self.jobs.remove(&handle) {
+            self.keys.remove(&job.key);
+        }
+        true
+    }
+
+    /// Why a submission is refused at the door.
+    fn turn_away(&self, submission: &Submission) -> Option<(Refusal, Option<Millis>)> {
+        if self.stopping {
+            return Some((Refusal::Stopping, None));
+        }
+        let wait = self.expected_wait(&submission.service);
+        if wait > self.limits.max_wait {
+            return Some((
+                Refusal::Overload,
+                Some(wait - self.limits.max_wait + Millis(1_000)),
+            ));
+        }
+        None
+    }
+
+    /// Joins a caller to a job that is already here.
+    fn join(
+        &mut self,
+        waiter: Handle,
+        known: Handle,
+        digest: Option<&[u8]>,
+        deadline: Millis,
+        out: &mut Vec<EntryOutput>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&known) else {
+            return;
+        };
+        if job.digest.as_deref() != digest {
+            let refused = Answer::Refused(Refusal::KeyConflict, None);
+            out.push(EntryOutput::Answer(waiter, refused));
+            return;
+        }
+        job.deadline = job.deadline.max(deadline);
+        self.wait(waiter, known, out);
+    }
+
+    fn wait(&mut self, waiter: Handle, known: Handle, out: &mut Vec<EntryOutput>) {
+        let held = self.held.contains(&known);
+        let Some(job) = self.jobs.get_mut(&known) else {
+            return;
+        };
+        match &job.answer {
+            Some(answer) if !held => out.push(EntryOutput::Answer(waiter, answer.clone())),
+            _ => job.waiters.push(waiter),
+        }
+    }
+
+    fn poll(&mut self, waiter: Handle, key: &JobKey, out: &mut Vec<EntryOutput>) {
+        if let Some(known) = self.keys.get(key).copied() {
+            self.wait(waiter, known, out);
+        } else {
+            let lost = Answer::Failed(Failure::OwnerLost);
+            out.push(EntryOutput::Answer(waiter, lost));
+        }
+    }
+
+    /// True when this entry has the job.
+    #[must_use]
+    pub fn knows(&self, key: &JobKey) -> bool {
+        self.keys.get(key).is_some()
+    }
+
+    /// The service a job is for.
+    #[must_use]
+    pub fn service(&self, handle: Handle) -> Option<String> {
+        self.jobs.get(&handle).map(|job| job.service.clone())
+    }
+
+    /// Where a job stands here, if it is here.
+    #[must_use]
+    pub fn state(&self, key: &JobKey) -> Option<JobState> {
+        Some(self.jobs.get(self.keys.get(key)?)?.state)
+    }
+
+    fn cancel(
+        &mut self,
+        now: Millis,
+        key: &JobKey,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(handle) = self.keys.get(key).copied() else {
+            return Ok(());
+        };
+        match self.jobs.get(&handle) {
+            Some(job) if job.answer.is_none() && job.state == JobState::Running => {
+                let answer = give_up(job, Refusal::Cancelled, Failure::Cancelled);
+                self.settle(now, handle, answer, out)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn claimed(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        claimed: Claimed,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        if job.answer.is_some() {
+            return Ok(());
+        }
+        match claimed {
+            Claimed::Granted(generation) => {
+                job.state = self.chart.next(job.state, JobEvent::Granted)?;
+                job.generation = generation;
+                self.enqueue(now, handle);
+            }
+            Claimed::Attached => {
+                job.state = self.chart.next(job.state, JobEvent::Attached)?;
+                out.push(EntryOutput::Attach(handle, job.key.clone()));
+            }
+            Claimed::Conflict => {
+                let answer = Answer::Refused(Refusal::KeyConflict, None);
+                self.settle(now, handle, answer, out)?;
+            }
+            Claimed::Unknown => {
+                let answer = Answer::Refused(Refusal::NoClaim, None);
+                self.settle(now, handle, answer, out)?;
+            }
+            Claimed::TakenOver {
+                generation,
+                agents,
+                lost,
+                settled,
+            } => {
+                job.state = self.chart.next(job.state, JobEvent::TakenOver)?;
+                job.generation = generation;
+                if settled == Some(false) {
+                    let answer = Answer::Failed(Failure::ResultsGone);
+                    return self.settle(now, handle, answer, out);
+                }
+                if lost && settled.is_none() {
+                    let answer = Answer::Failed(Failure::Unaccounted);
+                    return self.settle(now, handle, answer, out);
+                }
+                // Of a complete job nothing may be started again.
+                job.concluded = settled.is_some();
+                for agent in &agents {
+                    let key = job.key.clone();
+                    out.push(EntryOutput::Inventory(handle, *agent, key, generation));
+                }
+                job.awaited = agents;
+                job.awaited.sort_unstable();
+                self.recovered(now, handle, out)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn inventory(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        agent: Incarnation,
+        tasks: Option<Vec<Verdict>>,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        let Ok(i) = job.awaited.binary_search(&agent) else {
+            return Ok(());
+        };
+        job.awaited.remove(i);
+        let Some(tasks) = tasks else {
+            return self.settle(now, handle, Answer::Failed(Failure::Unaccounted), out);
+        };
+        for verdict in tasks {
+            self.adopt(now, handle, agent, verdict, out)?;
+        }
+        self.recovered(now, handle, out)
+    }
+
+    /// All agents have spoken: the rest of the job goes on here.
+    fn recovered(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        if job.state != JobState::Recovering || !job.awaited.is_empty() {
+            return Ok(());
+        }
+        if job.is_whole() {
+            let answer = Answer::Complete(job.results());
+            return self.settle(now, handle, answer, out);
+        }
+        if job.concluded {
+            return self.settle(now, handle, Answer::Failed(Failure::ResultsGone), out);
+        }
+        job.state = self.chart.next(job.state, JobEvent::Granted)?;
+        self.enqueue(now, handle);
+        Ok(())
+    }
+
+    fn relayed(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        status: u16,
+        body: Bytes,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        match self.jobs.get(&handle) {
+            Some(job) if job.state == JobState::Attached => {
+                self.settle(now, handle, Answer::Relayed { status, body }, out)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn reclaim(&mut self, handle: Handle, out: &mut Vec<EntryOutput>) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        let Some(digest) = job.digest.clone() else {
+            return Ok(());
+        };
+        if job.answer.is_some() {
+            return Ok(());
+        }
+        job.state = self.chart.next(job.state, JobEvent::Reclaim)?;
+        out.push(EntryOutput::Claim(handle, job.key.clone(), digest));
+        Ok(())
+    }
+
+    /// Under a new incarnation everything out is the former one's: keyed jobs are
+    /// claimed anew, and what no one else can name is lost.
+    fn rejoined(
+        &mut self,
+        now: Millis,
+        incarnation: Incarnation,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        self.incarnation = incarnation;
+        self.lease = Millis(0);
+        self.out = Table::default();
+        self.queues = Table::default();
+        for (_, team) in self.teams.iter_mut() {
+            team.running = 0;
+        }
+        for handle in std::mem::take(&mut self.held) {
+            if let Some(job) = self.jobs.get_mut(&handle) {
+                job.answer = None;
+                job.state = JobState::Running;
+            }
+        }
+        let open = self.jobs.iter().filter(|(_, job)| job.answer.is_none());
+        let open: Vec<Handle> = open.map(|(handle, _)| *handle).collect();
+        for handle in open {
+            let Some(job) = self.jobs.get_mut(&handle) else {
+                continue;
+            };
+            if !job.is_keyed() {
+                let answer = give_up(job, Refusal::Stopping, Failure::OwnerLost);
+                self.settle(now, handle, answer, out)?;
+                continue;
+            }
+            for task in &mut job.tasks {
+                task.step = Step::Waiting;
+            }
+            job.done = 0;
+            job.waiting.clear();
+            job.agents = Table::default();
+            job.awaited.clear();
+            match job.state {
+                JobState::Claiming => {}
+                _ => self.reclaim(handle, out)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn agent_up(
+        &mut self,
+        agent: Incarnation,
+        service: String,
+        data_centre: String,
+        open: bool,
+        out: &mut Vec<EntryOutput>,
+    ) {
+        let pool = self.pools.or_insert_with(service, Pool::default);
+        let server = pool.servers.or_insert_with(agent, Server::default);
+        server.data_centre = data_centre;
+        let closed = server.open && !open;
+        server.open = open;
+        if closed && server.credits > 0 {
+            out.push(EntryOutput::GiveBack(agent, server.credits));
+            server.credits = 0;
+        }
+    }
+
+    pub(crate) fn server(&mut self, agent: Incarnation) -> Option<&mut Server> {
+        let pools = self.pools.iter_mut();
+        pools
+            .map(|(_, pool)| pool)
+            .find_map(|pool| pool.servers.get_mut(&agent))
+    }
+
+    fn linked(
+        &mut self,
+        agent: Incarnation,
+        slots: u32,
+        stamp: Millis,
+        out: &mut Vec<EntryOutput>,
+    ) {
+        let Some(server) = self.server(agent) else {
+            return;
+        };
+        server.linked = true;
+        server.slots = slots;
+        server.stamp = stamp;
+        server.credits = 0;
+        server.wanted = 0;
+        let asked: Vec<Dispatch> = self
+            .out
+            .iter()
+            .filter(|(_, o)| o.agent == agent)
+            .filter_map(|(number, o)| self.order(*number, *o))
+            .collect();
+        if !asked.is_empty() {
+            out.push(EntryOutput::Ask(agent, asked));
+        }
+    }
+
+    fn unlinked(&mut self, agent: Incarnation) {
+        if let Some(server) = self.server(agent) {
+            server.linked = false;
+            server.credits = 0;
+            server.wanted = 0;
+        }
+    }
+
+    fn credits(&mut self, agent: Incarnation, count: u32, stamp: Millis) {
+        if let Some(server) = self.server(agent) {
+            server.credits += count;
+            server.wanted = server.wanted.saturating_sub(count);
+            server.stamp = server.stamp.max(stamp);
+        }
+    }
+
+    fn recall(&mut self, agent: Incarnation, count: u32, out: &mut Vec<EntryOutput>) {
+        if let Some(server) = self.server(agent) {
+            let given = server.credits.min(count);
+            server.credits -= given;
+            self.counts.credit_messages += 2;
+            out.push(EntryOutput::GiveBack(agent, given));
+        }
+    }
+
+    fn agent_dead(
+        &mut self,
+        now: Millis,
+        agent: Incarnation,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        for (_, pool) in self.pools.iter_mut() {
+            pool.servers.remove(&agent);
+            pool.estimator.forget(agent);
+        }
+        let lost = self.out.iter().filter(|(_, o)| o.agent == agent);
+        let lost: Vec<(Number, Out)> = lost.map(|(n, o)| (*n, *o)).collect();
+        for (number, o) in lost {
+            self.out.remove(&number);
+            self.team_freed(o.handle);
+            let failure = Failure::AgentLost { task: o.task };
+            if !self.retry(now, o.handle) {
+                self.settle(now, o.handle, Answer::Failed(failure), out)?;
+            }
+        }
+        let jobs = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.awaited.binary_search(&agent).is_ok());
+        let awaiting: Vec<Handle> = jobs.map(|(handle, _)| *handle).collect();
+        for handle in awaiting {
+            self.inventory(now, handle, agent, None, out)?;
+        }
+        Ok(())
+    }
+
+    /// Sends a repeatable request again, within the retry budget.
+    pub(crate) fn retry(&mut self, now: Millis, handle: Handle) -> bool {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return false;
+        };
+        let repeatable = job.kind == Kind::Request { repeatable: true };
+        if !repeatable || job.answer.is_some() || self.retries < 1.0 || now >= job.deadline {
+            return false;
+        }
+        let Some(task) = job.tasks.last().cloned() else {
+            return false;
+        };
+        self.retries -= 1.0;
+        self.counts.retried += 1;
+        // A try of its own to the gates, which start no task twice.
+        job.tasks.push(super::job::Task {
+            step: Step::Waiting,
+            ..task
+        });
+        self.enqueue(now, handle);
+        true
+    }
+
+    /// Gives a job its answer.
+    pub(crate) fn settle(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        answer: Answer,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        if job.answer.is_some() {
+            return Ok(());
+        }
+        let event = match &answer {
+            Answer::Complete(_) | Answer::Relayed { .. } => JobEvent::Complete,
+            Answer::Failed(_) => JobEvent::Fail,
+            Answer::Refused(..) => JobEvent::Refuse,
+        };
+        let owned = !matches!(job.state, JobState::Attached | JobState::Claiming);
+        job.state = self.chart.next(job.state, event)?;
+        job.answer = Some(answer);
+        job.settled = now;
+        let held = job.is_keyed() && owned && now >= self.lease;
+        for (agent, count) in job.agents.iter().filter(|(_, count)| **count > 0) {
+            debug_assert!(*count > 0);
+            out.push(EntryOutput::Cancel(*agent, job.key.clone(), job.generation));
+        }
+        if let Some(queue) = self.queues.get_mut(&job.service) {
+            queue.remove(&job.key.team, job.rank, handle);
+        }
+        if held {
+            self.held.push(handle);
+        } else {
+            self.deliver(handle, owned, out);
+        }
+        Ok(())
+    }
+
+    fn deliver(&mut self, handle: Handle, owned: bool, out: &mut Vec<EntryOutput>) {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return;
+        };
+        let Some(answer) = job.answer.clone() else {
+            return;
+        };
+        if owned && job.is_keyed() {
+            out.push(EntryOutput::Record {
+                key: job.key.clone(),
+                generation: job.generation,
+                outcome: job.state,
+                agents: job.agents.iter().map(|(agent, _)| *agent).collect(),
+            });
+        }
+        for waiter in job.waiters.drain(..) {
+            out.push(EntryOutput::Answer(waiter, answer.clone()));
+        }
+        job.tasks = Vec::new();
+        job.waiting = Vec::new();
+    }
+
+    fn release_held(&mut self, now: Millis, out: &mut Vec<EntryOutput>) {
+        if now >= self.lease {
+            return;
+        }
+        for handle in std::mem::take(&mut self.held) {
+            self.deliver(handle, true, out);
+        }
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Vec<EntryOutput>) -> Result<(), ChartError> {
+        let mut due = Vec::new();
+        for (handle, job) in self.jobs.iter().filter(|(_, job)| job.answer.is_none()) {
+            if now >= job.deadline {
+                due.push((*handle, give_up(job, Refusal::Deadline, Failure::Deadline)));
+            } else if self.never_fits(now, job) {
+                due.push((*handle, Answer::Refused(Refusal::NeverFits, None)));
+            }
+        }
+        for (handle, answer) in due {
+            self.settle(now, handle, answer, out)?;
+        }
+        self.forget_old(now);
+        Ok(())
+    }
+
+    fn never_fits(&self, now: Millis, job: &Job) -> bool {
+        let waited = now.since(job.arrived) >= self.limits.grace;
+        let served = self
+            .pools
+            .get(&job.service)
+            .is_some_and(|p| !p.servers.is_empty());
+        job.state == JobState::Running && waited && !served && !job.started
+    }
+
+    fn forget_old(&mut self, now: Millis) {
+        let retain = self.limits.retain;
+        let keys = &mut self.keys;
+        let held = &self.held;
+        self.jobs.retain(|handle, job| {
+            let old = job.answer.is_some() && now.since(job.settled) > retain;
+            if old && !held.contains(handle) {
+                keys.remove(&job.key);
+                return false;
+            }
+            true
+        });
+    }
+}
+
+/// The answer to a job that is given up: refused only when nothing can have run.
+fn give_up(job: &Job, refusal: Refusal, failure: Failure) -> Answer {
+    let unsure = matches!(job.state, JobState::Attached | JobState::Recovering);
+    if job.started || unsure || job.agents.iter().any(|(_, count)| *count > 0) {
+        Answer::Failed(failure)
+    } else {
+        Answer::Refused(refusal, None)
+    }
+}
--- /dev/null
+++ b/src/core/gate.rs
@@ -0,0 +1,587 @@
+//! The start gate: the only place where a task can start.
+//!
+//! A task of a job starts at most once in one incarnation of an agent, whatever
+//! is delayed, repeated or reordered on the way. What the gate has refused once
+//! stays refused under that dispatch number.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::chart::{Chart, ChartError};
+use super::clock::Millis;
+use super::ids::{Generation, Incarnation, JobKey, Number, Revision};
+use super::table::Table;
+
+const TASK_CHART: &str = include_str!("../../charts/task.toml");
+
+/// An order to start one task.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Dispatch {
+    /// Rises with each dispatch of one entry incarnation.
+    pub number: Number,
+    /// The job.
+    pub job: JobKey,
+    /// Index of the task in its job.
+    pub task: u32,
+    /// The claim's generation.
+    pub generation: Generation,
+    /// The entry that sends.
+    pub entry: Incarnation,
+    /// The agent it is meant for.
+    pub agent: Incarnation,
+    /// The agent's own clock, as last told to the entry.
+    pub stamp: Millis,
+    /// What the backend server is given.
+    pub payload: Bytes,
+}
+
+/// Why a dispatch was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum NotRun {
+    /// Meant for another incarnation of the agent.
+    OtherAgent,
+    /// The entry is declared dead.
+    DeadEntry,
+    /// The job's ownership has moved on.
+    OldGeneration,
+    /// The start window has closed.
+    WindowClosed,
+    /// The agent holds no fresh lease.
+    NoLease,
+    /// The data centre, service or backend server takes no work.
+    Out,
+    /// The entry held no credit.
+    NoCredit,
+    /// The job was cancelled, or the entry asked and the dispatch had not come.
+    Withdrawn,
+    /// The agent stops, or its backend server is gone.
+    Leaving,
+    /// The backend server said that it did not start it.
+    Declined,
+}
+
+/// What is known of a task.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Fate {
+    /// Not started under this dispatch, and never will be.
+    NotRun(NotRun),
+    /// Waiting for a slot.
+    Queued,
+    /// Handed to the backend server.
+    Running,
+    /// Answered whole.
+    Done {
+        /// The answer.
+        body: Bytes,
+        /// Time the backend server took.
+        run: Millis,
+    },
+    /// Started, with no whole answer.
+    Failed {
+        /// What went wrong.
+        reason: String,
+        /// Time until it did.
+        run: Millis,
+    },
+}
+
+impl Fate {
+    /// True for a fate that does not change under the same dispatch.
+    ///
+    /// ```
+    /// use fulmardrift::Fate;
+    /// assert!(!Fate::Running.is_final());
+    /// ```
+    #[must_use]
+    pub fn is_final(&self) -> bool {
+        !matches!(self, Self::Queued | Self::Running)
+    }
+
+    fn state(&self) -> TaskState {
+        match self {
+            Self::NotRun(_) => TaskState::NotRun,
+            Self::Queued => TaskState::Queued,
+            Self::Running => TaskState::Running,
+            Self::Done { .. } => TaskState::Done,
+            Self::Failed { .. } => TaskState::Failed,
+        }
+    }
+}
+
+/// States of `charts/task.toml`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskState {
+    /// Not known to the agent.
+    Absent,
+    /// Waiting for a slot.
+    Queued,
+    /// Handed to the backend server.
+    Running,
+    /// Refused.
+    NotRun,
+    /// Answered.
+    Done,
+    /// Ran without an answer.
+    Failed,
+}
+
+/// Events of `charts/task.toml`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TaskEvent {
+    /// Taken, no slot free.
+    Queue,
+    /// Handed to the backend server.
+    Start,
+    /// Not run.
+    Refuse,
+    /// The answer came.
+    Finish,
+    /// No answer will come.
+    Fail,
+}
+
+/// The agent's word on one dispatch.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The dispatch.
+    pub number: Number,
+    /// Its job.
+    pub job: JobKey,
+    /// Its task.
+    pub task: u32,
+    /// Its generation.
+    pub generation: Generation,
+    /// The incarnation that speaks.
+    pub agent: Incarnation,
+    /// What is known.
+    pub fate: Fate,
+}
+
+/// The gate's answer to a dispatch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// New: it takes a slot or waits for one.
+    Admitted,
+    /// Known already; this is its fate.
+    Known(Fate),
+    /// Refused, now and for ever.
+    Refused(NotRun),
+}
+
+/// What a lease lets the agent do, and until when.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Lease {
+    /// The revision a quorum confirmed.
+    pub revision: Revision,
+    /// End by the holder's own clock.
+    pub until: Millis,
+    /// False where the settings take the place out.
+    pub allowed: bool,
+    /// How long after its stamp a dispatch may start.
+    pub window: Millis,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Record {
+    number: Number,
+    generation: Generation,
+    entry: Incarnation,
+    fate: Fate,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Ledger {
+    fence: Generation,
+    // When the job was last heard of.
+    touched: Millis,
+    // True once control has the job's outcome.
+    recorded: bool,
+    tasks: Table<u32, Record>,
+}
+
+/// The ledger of all starts of one agent incarnation, and the rules of starting.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    incarnation: Incarnation,
+    lease: Lease,
+    leaving: bool,
+    dead: Vec<Incarnation>,
+    jobs: Table<JobKey, Ledger>,
+    chart: Chart<TaskState, TaskEvent>,
+}
+
+impl Gate {
+    /// A gate with an empty ledger and no lease.
+    ///
+    /// ```
+    /// use fulmardrift::{Gate, Incarnation};
+    /// let gate = Gate::new(Incarnation(7)).unwrap();
+    /// assert_eq!(gate.incarnation(), Incarnation(7));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// `charts/task.toml` is unusable.
+    pub fn new(incarnation: Incarnation) -> Result<Self, ChartError> {
+        Ok(Self {
+            incarnation,
+            lease: Lease::default(),
+            leaving: false,
+            dead: Vec::new(),
+            jobs: Table::default(),
+            chart: Chart::parse(TASK_CHART)?,
+        })
+    }
+
+    /// The agent incarnation whose starts this gate decides.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Takes a lease; revisions only go forward, and ends only move out.
+    ///
+    /// ```
+    /// use fulmardrift::{Gate, Incarnation, Lease, Millis, Revision};
+    /// let mut gate = Gate::new(Incarnation(1)).unwrap();
+    /// let new = Lease { revision: Revision(2), until: Millis(9), ..Lease::default() };
+    /// gate.renew(new);
+    /// gate.renew(Lease { revision: Revision(1), until: Millis(99), ..Lease::default() });
+    /// assert_eq!(gate.lease(), new);
+    /// ```
+    pub fn renew(&mut self, lease: Lease) {
+        if lease.revision < self.lease.revision {
+            return;
+        }
+        let until = self.lease.until.max(lease.until);
+        self.lease = Lease { until, ..lease };
+    }
+
+    /// The lease in hand, lapsed or not.
+    #[must_use]
+    pub fn lease(&self) -> Lease {
+        self.lease
+    }
+
+    /// Refuses everything new while `leaving` is true.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Refuses whatever comes from a dead entry.
+    pub fn bury(&mut self, entry: Incarnation) {
+        if let Err(i) = self.dead.binary_search(&entry) {
+            self.dead.insert(i, entry);
+        }
+    }
+
+    /// Why `dispatch` must not start at `now`, if anything speaks against it.
+    fn objection(&self, now: Millis, dispatch: &Dispatch) -> Option<NotRun> {
+        let fence = self
+            .jobs
+            .get(&dispatch.job)
+            .map_or(Generation(0), |l| l.fence);
+        if dispatch.agent != self.incarnation {
+            Some(NotRun::OtherAgent)
+        } else if self.dead.binary_search(&dispatch.entry).is_ok() {
+            Some(NotRun::DeadEntry)
+        } else if dispatch.generation < fence {
+            Some(NotRun::OldGeneration)
+        } else if self.leaving {
+            Some(NotRun::Leaving)
+        } else if now > dispatch.stamp + self.lease.window {
+            Some(NotRun::WindowClosed)
+        } else if now >= self.lease.until {
+            Some(NotRun::NoLease)
+        } else if !self.lease.allowed {
+            Some(NotRun::Out)
+        } else {
+            None
+        }
+    }
+
+    /// Decides on a dispatch and writes the decision down.
+    ///
+    /// `credit` says whether the entry held a slot credit for it. An admitted
+    /// task is queued; [`Gate::start`] must let it through before the backend
+    /// server is called.
+    ///
+    /// # Errors
+    ///
+    /// The task's chart has no transition for this: the dispatch is not taken.
+    pub fn offer(
+        &mut self,
+        now: Millis,
+        dispatch: &Dispatch,
+        credit: bool,
+    ) -> Result<Admission, ChartError> {
+        if dispatch.agent != self.incarnation {
+            // Another life's ledger is not this one's to write.
+            return Ok(Admission::Refused(NotRun::OtherAgent));
+        }
+        if let Some(known) = self.known(dispatch) {
+            return Ok(Admission::Known(known));
+        }
+        let objection = match self.objection(now, dispatch) {
+            None if !credit => Some(NotRun::NoCredit),
+            other => other,
+        };
+        if let Some(reason) = objection {
+            self.write(now, dispatch, TaskEvent::Refuse, Fate::NotRun(reason))?;
+            Ok(Admission::Refused(reason))
+        } else {
+            self.write(now, dispatch, TaskEvent::Queue, Fate::Queued)?;
+            Ok(Admission::Admitted)
+        }
+    }
+
+    /// True when [`Gate::offer`] would answer from the ledger.
+    #[must_use]
+    pub fn is_known(&self, dispatch: &Dispatch) -> bool {
+        self.known(dispatch).is_some()
+    }
+
+    /// The fate on record, unless `dispatch` is newer than a refusal.
+    fn known(&self, dispatch: &Dispatch) -> Option<Fate> {
+        let record = self.jobs.get(&dispatch.job)?.tasks.get(&dispatch.task)?;
+        let newer = (dispatch.generation, dispatch.number) > (record.generation, record.number);
+        match record.fate {
+            Fate::NotRun(_) if newer => None,
+            _ => Some(record.fate.clone()),
+        }
+    }
+
+    fn write(
+        &mut self,
+        now: Millis,
+        dispatch: &Dispatch,
+        event: TaskEvent,
+        fate: Fate,
+    ) -> Result<(), ChartError> {
+        let ledger = self.jobs.or_insert_with(dispatch.job.clone(), || Ledger {
+            fence: dispatch.generation,
+            touched: now,
+            recorded: false,
+            tasks: Table::default(),
+        });
+        let state = match ledger.tasks.get(&dispatch.task) {
+            None => TaskState::Absent,
+            Some(record) => record.fate.state(),
+        };
+        self.chart.next(state, event)?;
+        ledger.touched = now;
+        ledger.fence = ledger.fence.max(dispatch.generation);
+        ledger.tasks.insert(
+            dispatch.task,
+            Record {
+                number: dispatch.number,
+                generation: dispatch.generation,
+                entry: dispatch.entry,
+                fate,
+            },
+        );
+        Ok(())
+    }
+
+    /// Lets a queued task through to the backend server, or refuses it.
+    ///
+    /// True means: the start is on record, call the backend server now.
+    ///
+    /// # Errors
+    ///
+    /// The task is not queued, so the chart has no transition.
+    pub fn start(&mut self, now: Millis, dispatch: &Dispatch) -> Result<bool, ChartError> {
+        if self.state(&dispatch.job, dispatch.task) != TaskState::Queued {
+            return Ok(false);
+        }
+        if let Some(reason) = self.objection(now, dispatch) {
+            self.write(now, dispatch, TaskEvent::Refuse, Fate::NotRun(reason))?;
+            Ok(false)
+        } else {
+            self.write(now, dispatch, TaskEvent::Start, Fate::Running)?;
+            Ok(true)
+        }
+    }
+
+    fn state(&self, job: &JobKey, task: u32) -> TaskState {
+        match self.fate(job, task) {
+            None => TaskState::Absent,
+            Some(fate) => fate.state(),
+        }
+    }
+
+    /// What is on record for a task.
+    #[must_use]
+    pub fn fate(&self, job: &JobKey, task: u32) -> Option<&Fate> {
+        Some(&self.jobs.get(job)?.tasks.get(&task)?.fate)
+    }
+
+    /// Writes down how a running task ended, and says whom to tell.
+    ///
+    /// # Errors
+    ///
+    /// The task is not running.
+    pub fn finish(
+        &mut self,
+        now: Millis,
+        job: &JobKey,
+        task: u32,
+        fate: Fate,
+    ) -> Result<(Incarnation, Verdict), ChartError> {
+        let event = match fate {
+            Fate::Done { .. } => TaskEvent::Finish,
+            Fate::NotRun(_) => TaskEvent::Refuse,
+            _ => TaskEvent::Fail,
+        };
+        if self.state(job, task) != TaskState::Running {
+            return super::chart::UndefinedSnafu {
+                state: "not running",
+                event: "finish",
+            }
+            .fail();
+        }
+        self.chart.next(self.state(job, task), event)?;
+        let agent = self.incarnation;
+        let ledger = self.jobs.get_mut(job);
+        let Some((touched, record)) =
+            ledger.and_then(|l| Some((&mut l.touched, l.tasks.get_mut(&task)?)))
+        else {
+            return super::chart::UndefinedSnafu {
+                state: "absent",
+                event: "finish",
+            }
+            .fail();
+        };
+        *touched = now;
+        record.fate = fate;
+        let verdict = Verdict {
+            number: record.number,
+            job: job.clone(),
+            task,
+            generation: record.generation,
+            agent,
+            fate: record.fate.clone(),
+        };
+        Ok((record.entry, verdict))
+    }
+
+    /// Answers what became of a dispatch; one that never came never will start.
+    ///
+    /// A newer owner that asks is the one told the end of a running task.
+    ///
+    /// # Errors
+    ///
+    /// The chart has no transition for this.
+    pub fn ask(&mut self, now: Millis, dispatch: &Dispatch) -> Result<Fate, ChartError> {
+        if dispatch.agent != self.incarnation {
+            return Ok(Fate::NotRun(NotRun::OtherAgent));
+        }
+        let Some(fate) = self.known(dispatch) else {
+            let fate = Fate::NotRun(NotRun::Withdrawn);
+            self.write(now, dispatch, TaskEvent::Refuse, fate.clone())?;
+            return Ok(fate);
+        };
+        if let Some(ledger) = self.jobs.get_mut(&dispatch.job)
+            && let Some(record) = ledger.tasks.get_mut(&dispatch.task)
+            && dispatch.generation > record.generation
+        {
+            ledger.fence = ledger.fence.max(dispatch.generation);
+            record.generation = dispatch.generation;
+            record.number = dispatch.number;
+            record.entry = dispatch.entry;
+        }
+        Ok(fate)
+    }
+
+    /// Withdraws what has not started of a job, up to a generation.
+    ///
+    /// Returns the tasks withdrawn, with whom to tell.
+    pub fn cancel(
+        &mut self,
+        now: Millis,
+        job: &JobKey,
+        generation: Generation,
+    ) -> Vec<(Incarnation, Verdict)> {
+        let agent = self.incarnation;
+        let Some(ledger) = self.jobs.get_mut(job) else {
+            return Vec::new();
+        };
+        ledger.touched = now;
+        let mut told = Vec::new();
+        for (task, record) in ledger.tasks.iter_mut() {
+            if record.fate != Fate::Queued || record.generation > generation {
+                continue;
+            }
+            record.fate = Fate::NotRun(NotRun::Withdrawn);
+            told.push((
+                record.entry,
+                Verdict {
+                    number: record.number,
+                    job: job.clone(),
+                    task: *task,
+                    generation: record.generation,
+                    agent,
+                    fate: record.fate.clone(),
+                },
+            ));
+        }
+        told
+    }
+
+    /// Fences all generations of a job below `generation` and lists its tasks.
+    ///
+    /// Queued tasks of an older generation are withdrawn by this.
+    pub fn inventory(&mut self, now: Millis, job: &JobKey, generation: Generation) -> Vec<Verdict> {
+        let agent = self.incarnation;
+        let ledger = self.jobs.or_insert_with(job.clone(), || Ledger {
+            fence: generation,
+            touched: now,
+            recorded: false,
+            tasks: Table::default(),
+        });
+        ledger.touched = now;
+        ledger.fence = ledger.fence.max(generation);
+        let mut tasks = Vec::new();
+        for (task, record) in ledger.tasks.iter_mut() {
+            if record.fate == Fate::Queued && record.generation < generation {
+                record.fate = Fate::NotRun(NotRun::OldGeneration);
+            }
+            tasks.push(Verdict {
+                number: record.number,
+                job: job.clone(),
+                task: *task,
+                generation: record.generation,
+                agent,
+                fate: record.fate.clone(),
+            });
+        }
+        tasks
+    }
+
+    /// Notes that control has the job's outcome, so its results may be dropped.
+    pub fn recorded(&mut self, job: &JobKey) {
+        if let Some(ledger) = self.jobs.get_mut(job) {
+            ledger.recorded = true;
+        }
+    }
+
+    /// Drops jobs untouched for so long that no delayed dispatch of them can
+    /// pass the start window: `recorded` ones after `short`, others after `long`.
+    pub fn prune(&mut self, now: Millis, short: Millis, long: Millis) {
+        let window = self.lease.window;
+        self.jobs.retain(|_, ledger| {
+            let age = now.since(ledger.touched);
+            let keep = if ledger.recorded { short } else { long };
+            let busy = ledger.tasks.iter().any(|(_, r)| !r.fate.is_final());
+            busy || age <= keep.max(window + window)
+        });
+    }
+
+    /// Number of jobs on record.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,17 @@
+//! Decisions without input or output: every type here is stepped with the time
+//! and an input, and answers with outputs.
+
+pub(crate) mod agent;
+pub(crate) mod breaker;
+pub(crate) mod chart;
+pub(crate) mod clock;
+pub(crate) mod credit;
+pub(crate) mod dispatching;
+pub(crate) mod entry;
+pub(crate) mod estimate;
+pub(crate) mod gate;
+pub(crate) mod ids;
+pub(crate) mod job;
+pub(crate) mod place;
+pub(crate) mod queue;
+pub(crate) mod table;
--- /dev/null
+++ b/src/core/place.rs
@@ -0,0 +1,273 @@
+//! Where a task goes: the backend servers of one service, and the choice among
+//! them.
+
+use serde::{Deserialize, Serialize};
+
+use super::breaker::Breaker;
+use super::clock::Millis;
+use super::estimate::Estimator;
+use super::ids::{Incarnation, Number};
+use super::table::Table;
+
+/// How places are chosen. All but the first are there to be measured against.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// Least expected finish; a slow slot stays idle when waiting ends sooner.
+    #[default]
+    LeastFinish,
+    /// Each task bound on arrival to a backend server drawn at random.
+    Random,
+    /// Each task bound on arrival to the one with the fewest tasks.
+    LeastOutstanding,
+    /// Two drawn at random; the first with a free slot gets the task.
+    TwoProbes,
+}
+
+/// Expected end of a task that is out.
+#[derive(Debug, Clone, Copy)]
+struct Stay {
+    since: Millis,
+    end: f64,
+}
+
+/// A backend server as an entry sees it through its agent.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Server {
+    pub(crate) data_centre: String,
+    pub(crate) slots: u32,
+    pub(crate) credits: u32,
+    pub(crate) linked: bool,
+    // False while settings take it out.
+    pub(crate) open: bool,
+    // The agent's clock, as last told.
+    pub(crate) stamp: Millis,
+    // What the agent was last told is wanted.
+    pub(crate) wanted: u32,
+    // When a free slot here was last left idle on purpose.
+    pub(crate) declined: Option<Millis>,
+    pub(crate) breaker: Breaker,
+    // Tasks bound here by a baseline policy.
+    pub(crate) bound: u32,
+    stays: Table<Number, Stay>,
+}
+
+impl Server {
+    fn usable(&self, now: Millis, panic: bool) -> bool {
+        self.linked && self.open && self.credits > 0 && (panic || self.breaker.allows(now))
+    }
+
+    pub(crate) fn sent(&mut self, now: Millis, number: Number, run: f64) {
+        self.credits = self.credits.saturating_sub(1);
+        self.breaker.sent();
+        self.stays.insert(
+            number,
+            Stay {
+                since: now,
+                end: now.as_f64() + run,
+            },
+        );
+    }
+
+    pub(crate) fn over(&mut self, number: Number) {
+        self.stays.remove(&number);
+    }
+
+    /// Expected ends of the tasks out, soonest first; one overdue is expected to
+    /// take half of its age longer.
+    fn ends(&self, now: Millis) -> Vec<f64> {
+        let late = |s: &Stay| now.as_f64() + now.since(s.since).as_f64() / 2.0;
+        let end = |s: &Stay| if s.end > now.as_f64() { s.end } else { late(s) };
+        let mut ends: Vec<f64> = self.stays.iter().map(|(_, s)| end(s)).collect();
+        ends.sort_by(f64::total_cmp);
+        ends
+    }
+}
+
+/// The backend servers of one service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pool {
+    pub(crate) servers: Table<Incarnation, Server>,
+    pub(crate) estimator: Estimator,
+}
+
+/// One backend server while tasks are being placed.
+#[derive(Debug)]
+struct Candidate {
+    agent: Incarnation,
+    free: u32,
+    ends: Vec<f64>,
+    // Added to the expected finish, to prefer the own data centre.
+    handicap: f64,
+}
+
+/// All backend servers while tasks are being placed.
+#[derive(Debug)]
+pub(crate) struct View {
+    now: f64,
+    free: u32,
+    candidates: Vec<Candidate>,
+}
+
+/// Where a task goes, or that it waits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Place {
+    Now { agent: Incarnation, run: f64 },
+    Later,
+}
+
+/// Cost of another data centre in the comparison of finish times, in milliseconds.
+const REMOTE_MS: f64 = 3.0;
+
+impl Pool {
+    /// What can be placed at `now`; `None` when no slot is free.
+    pub(crate) fn view(&self, now: Millis, home: &str) -> Option<View> {
+        // When most look broken, the tasks are to blame, not the servers.
+        let suspects = self
+            .servers
+            .iter()
+            .filter(|(_, s)| !s.breaker.is_closed())
+            .count();
+        let panic = suspects * 2 > self.servers.len();
+        let mut free = 0;
+        for (_, server) in self.servers.iter() {
+            if server.usable(now, panic) {
+                free += server.credits;
+            }
+        }
+        if free == 0 {
+            return None;
+        }
+        let live = self.servers.iter().filter(|(_, s)| s.linked && s.open);
+        let healthy = live.filter(|(_, s)| panic || s.breaker.allows(now));
+        let candidates = healthy.map(|(agent, s)| Candidate {
+            agent: *agent,
+            // An open breaker lets a single trial through.
+            free: if panic || s.breaker.is_closed() {
+                s.credits
+            } else {
+                s.credits.min(1)
+            },
+            ends: s.ends(now),
+            handicap: if s.data_centre == home {
+                0.0
+            } else {
+                REMOTE_MS
+            },
+        });
+        Some(View {
+            now: now.as_f64(),
+            free,
+            candidates: candidates.collect(),
+        })
+    }
+
+    /// Slots of all backend servers that take work.
+    pub(crate) fn slots(&self) -> u32 {
+        let open = self.servers.iter().filter(|(_, s)| s.open);
+        open.map(|(_, s)| s.slots).sum()
+    }
+
+    /// Binds a task on arrival, as the baseline policies do.
+    pub(crate) fn bind(
+        &mut self,
+        policy: Policy,
+        mut draw: impl FnMut(usize) -> usize,
+    ) -> Vec<Incarnation> {
+        let open = self.servers.iter().filter(|(_, s)| s.open && s.linked);
+        let agents: Vec<Incarnation> = open.map(|(agent, _)| *agent).collect();
+        if agents.is_empty() {
+            return Vec::new();
+        }
+        let pins = match policy {
+            Policy::LeastFinish => return Vec::new(),
+            Policy::Random => vec![agents[draw(agents.len())]],
+            Policy::TwoProbes => vec![agents[draw(agents.len())], agents[draw(agents.len())]],
+            Policy::LeastOutstanding => {
+                let bound = |a: &Incarnation| self.servers.get(a).map_or(0, |s| s.bound);
+                let least = agents.iter().min_by_key(|a| (bound(a), **a));
+                least.copied().into_iter().collect()
+            }
+        };
+        if let Some(server) = pins.first().and_then(|a| self.servers.get_mut(a)) {
+            server.bound += 1;
+        }
+        pins
+    }
+}
+
+impl View {
+    pub(crate) fn is_full(&self) -> bool {
+        self.free == 0
+    }
+
+    /// Puts a task where it is expected to finish first, now or after waiting.
+    pub(crate) fn place(&mut self, estimator: &Estimator, declared: Option<Millis>) -> Place {
+        let now = self.now;
+        let mut best: Option<(f64, f64, usize)> = None;
+        for (i, c) in self.candidates.iter().enumerate() {
+            let start = if c.free > 0 {
+                now
+            } else {
+                c.ends.first().copied().unwrap_or(f64::MAX)
+            };
+            let run = estimator.expect(c.agent, declared);
+            let finish = start + run + c.handicap;
+            if best.is_none_or(|(least, ..)| finish < least) {
+                best = Some((finish, run, i));
+            }
+        }
+        let Some((finish, run, i)) = best else {
+            return Place::Later;
+        };
+        let chosen = &mut self.candidates[i];
+        if chosen.free > 0 {
+            return self.take(i, run);
+        }
+        // The slot that comes free first is spoken for until this task ends.
+        if !chosen.ends.is_empty() {
+            chosen.ends.remove(0);
+            let at = chosen.ends.partition_point(|end| *end < finish);
+            chosen.ends.insert(at, finish);
+        }
+        Place::Later
+    }
+
+    /// Puts a task bound to `pins` on the first of them with a free slot.
+    pub(crate) fn place_bound(
+        &mut self,
+        estimator: &Estimator,
+        declared: Option<Millis>,
+        pins: &[Incarnation],
+    ) -> Place {
+        let fits = |c: &Candidate| c.free > 0 && pins.contains(&c.agent);
+        let Some(i) = self.candidates.iter().position(fits) else {
+            return Place::Later;
+        };
+        let run = estimator.expect(self.candidates[i].agent, declared);
+        self.take(i, run)
+    }
+
+    fn take(&mut self, i: usize, run: f64) -> Place {
+        let chosen = &mut self.candidates[i];
+        chosen.free -= 1;
+        self.free -= 1;
+        let end = self.now + run;
+        let at = chosen.ends.partition_point(|e| *e < end);
+        chosen.ends.insert(at, end);
+        Place::Now {
+            agent: chosen.agent,
+            run,
+        }
+    }
+
+    /// Agents with slots left free.
+    pub(crate) fn idle(&self) -> impl Iterator<Item = Incarnation> {
+        let idle = self.candidates.iter().filter(|c| c.free > 0);
+        idle.map(|c| c.agent)
+    }
+
+    pub(crate) fn has(&self, pins: &[Incarnation]) -> bool {
+        self.candidates.iter().any(|c| pins.contains(&c.agent))
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,62 @@
+//! A dispatcher for sub-second tasks that starts each task at most once.
+//!
+//! What is listed here is public; everything else is the crate's own.
+
+mod cmd;
+mod config;
+mod control;
+mod core;
+mod events;
+mod load;
+mod proto;
+mod shell;
+mod store;
+
+pub use crate::cmd::{CmdError, Exit, daemon, tool};
+pub use crate::config::{
+    AgentConfig, Config, ConfigError, ControlConfig, EntryConfig, GroupMember, StandInConfig,
+};
+pub use crate::control::command::{
+    Accepted, Change, ChangeRequest, ClaimAnswer, Command, Joining, Outcome, ProcessRole, Rejected,
+    Reply, Stamped,
+};
+pub use crate::control::log::{
+    DiskId, Index, LogEntry, Payload, Position, Record, ReplicaId, Snapshot, Term, Voter,
+};
+pub use crate::control::machine::{AuditRow, Machine, Process};
+pub use crate::control::message::{Body, Message};
+pub use crate::control::raft::{Durable, Raft, RaftInput, RaftOutput, RaftRole, RaftTiming};
+pub use crate::control::renewals::{Renewal, Renewals};
+pub use crate::control::server::{
+    Control, ControlAnswer, ControlError, ControlInput, ControlOutput, Token,
+};
+pub use crate::control::settings::{
+    Effective, KEYS, KeySpec, Override, SettingsError, TEAM_KEYS, Tree, TreeFile, ValueKind,
+    check_setting, is_name, key_spec,
+};
+pub use crate::core::agent::{
+    Agent, AgentInput, AgentLimits, AgentOutput, ServerEvent, ServerState,
+};
+pub use crate::core::breaker::Breaker;
+pub use crate::core::chart::{Chart, ChartError};
+pub use crate::core::clock::Millis;
+pub use crate::core::credit::{Credits, Grant};
+pub use crate::core::entry::{
+    Claimed, Entry, EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights,
+};
+pub use crate::core::estimate::Estimator;
+pub use crate::core::gate::{
+    Admission, Dispatch, Fate, Gate, Lease, NotRun, TaskEvent, TaskState, Verdict,
+};
+pub use crate::core::ids::{Generation, Incarnation, JobKey, Number, Revision};
+pub use crate::core::job::{
+    Answer, Failure, Handle, JobEvent, JobState, Kind, Refusal, Submission, TaskSpec,
+};
+pub use crate::core::place::Policy;
+pub use crate::core::table::Table;
+pub use crate::events::{EVENTS, Event};
+pub use crate::load::shape::{Fleet, JobPlan, Shape, TaskPlan};
+pub use crate::shell::stand_in::StandInCounts;
+pub use crate::store::folder::Folder;
+pub use crate::store::frame::{FrameError, Frames, decode_records, encode_record};
+pub use crate::store::wal::{Medium, Wal, WalError};
--- /dev/null
+++ b/src/shell/agent.rs
@@ -0,0 +1,578 @@
+//! An agent as a process: its actor and the servers for entries.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::Stream;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::announce::{self, Announced};
+use super::backend::Backend;
+use super::clock::Clock;
+use super::control_client::ControlClient;
+use super::member::{Fresh, Membership, News};
+use super::relay;
+use super::stop::{self, Stop, Stopper};
+use super::wire;
+use crate::control::command::{Joining, ProcessRole};
+use crate::control::settings::Tree;
+use crate::core::agent::{Agent, AgentInput, AgentLimits, AgentOutput};
+use crate::core::clock::Millis;
+use crate::core::credit::Grant;
+use crate::core::gate::{Dispatch, Fate, Lease, Verdict};
+use crate::core::ids::{Generation, Incarnation, JobKey};
+use crate::core::table::Table;
+use crate::events;
+use crate::proto;
+use crate::proto::agent_server::AgentServer;
+
+const TICK: Duration = Duration::from_millis(50);
+const CALLS: usize = 4_096;
+/// Messages waiting for one entry; a link that falls behind further is cut.
+const LINK: usize = 4_096;
+const LIMITS: AgentLimits = AgentLimits {
+    silence: Millis(3_000),
+    settled: Millis(10_000),
+    unsettled: Millis(120_000),
+};
+
+/// What reaches the actor.
+pub(crate) enum AgentCall {
+    Input(AgentInput),
+    Opened {
+        entry: Incarnation,
+        link: u64,
+        tx: mpsc::Sender<proto::FromAgent>,
+    },
+    Closed {
+        entry: Incarnation,
+        link: u64,
+    },
+    Ping {
+        entry: Incarnation,
+        number: u64,
+    },
+    Relay(Dispatch, oneshot::Sender<bool>),
+    Inventory(
+        JobKey,
+        Generation,
+        oneshot::Sender<(Incarnation, Vec<Verdict>)>,
+    ),
+    Announced(Announced),
+    News(News),
+    Idle(oneshot::Sender<bool>),
+}
+
+/// A way to the actor.
+#[derive(Clone)]
+pub(crate) struct AgentHandle {
+    tx: mpsc::Sender<AgentCall>,
+}
+
+impl AgentHandle {
+    pub(crate) async fn call(&self, call: AgentCall) {
+        // A closed channel means that the agent has stopped.
+        let _ = self.tx.send(call).await;
+    }
+
+    pub(crate) async fn input(&self, input: AgentInput) {
+        self.call(AgentCall::Input(input)).await;
+    }
+
+    pub(crate) async fn finished(&self, dispatch: &Dispatch, fate: Fate) {
+        if let Fate::Failed { reason, .. } = &fate {
+            let (job, task) = (&dispatch.job, dispatch.task);
+            events::TASK_FAILED.log(format_args!("job={job} task={task} {reason}"));
+        }
+        let job = dispatch.job.clone();
+        self.input(AgentInput::Finished(job, dispatch.task, fate))
+            .await;
+    }
+}
+
+/// Everything an agent needs to start.
+pub(crate) struct AgentSetup {
+    pub(crate) name: String,
+    pub(crate) place: String,
+    pub(crate) group: Vec<(u64, String)>,
+    pub(crate) peers: TcpListener,
+    pub(crate) announce: TcpListener,
+}
+
+/// A running agent.
+pub(crate) struct AgentRole {
+    handle: AgentHandle,
+    stopper: Stopper,
+}
+
+impl AgentRole {
+    pub(crate) fn start(setup: AgentSetup) -> std::io::Result<Self> {
+        let address = setup.peers.local_addr()?.to_string();
+        let (tx, rx) = mpsc::channel(CALLS);
+        let handle = AgentHandle { tx };
+        let (stopper, stop) = stop::pair();
+        let clock = Clock::new();
+        let backend = Backend::new();
+        let actor = Actor {
+            agent: None,
+            clock,
+            handle: handle.clone(),
+            backend: backend.clone(),
+            joining: Joining {
+                role: ProcessRole::Agent,
+                name: setup.name.clone(),
+                place: setup.place.clone(),
+                address,
+                service: String::new(),
+            },
+            client: ControlClient::new(setup.group),
+            tree: Tree::default(),
+            links: Table::default(),
+            relays: Vec::new(),
+            stop: stop.clone(),
+            member: false,
+        };
+        tokio::spawn(actor.run(rx, stop.clone()));
+        tokio::spawn(serve(setup.peers, handle.clone(), backend, stop.clone()));
+        tokio::spawn(announce::serve(setup.announce, handle.clone(), stop));
+        events::STARTED.log(format_args!("agent name={}", setup.name));
+        Ok(Self { handle, stopper })
+    }
+
+    /// Takes nothing new, finishes what it has, tells the entries, and stops.
+    pub(crate) async fn stop(self) {
+        events::STOPPING.log(format_args!("agent"));
+        self.handle.input(AgentInput::Stop).await;
+        loop {
+            let (tx, rx) = oneshot::channel();
+            self.handle.call(AgentCall::Idle(tx)).await;
+            match rx.await {
+                Ok(false) => tokio::time::sleep(TICK).await,
+                Ok(true) | Err(_) => break,
+            }
+        }
+        // Let the last verdicts leave.
+        tokio::time::sleep(TICK * 2).await;
+        self.stopper.stop();
+        tokio::time::sleep(TICK * 2).await;
+        events::STOPPED.log(format_args!("agent"));
+    }
+}
+
+struct Link {
+    number: u64,
+    tx: mpsc::Sender<proto::FromAgent>,
+}
+
+/// A request that waits for the gate's word.
+struct Waiting {
+    dispatch: Dispatch,
+    tx: oneshot::Sender<bool>,
+}
+
+struct Actor {
+    agent: Option<Agent>,
+    clock: Clock,
+    handle: AgentHandle,
+    backend: Backend,
+    joining: Joining,
+    client: ControlClient,
+    tree: Tree,
+    links: Table<Incarnation, Link>,
+    relays: Vec<Waiting>,
+    stop: Stop,
+    member: bool,
+}
+
+impl Actor {
+    async fn run(mut self, mut rx: mpsc::Receiver<AgentCall>, stop: Stop) {
+        let mut ticker = tokio::time::interval(TICK);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let stopped = stop.wait();
+        tokio::pin!(stopped);
+        loop {
+            let call = tokio::select! {
+                call = rx.recv() => call,
+                _ = ticker.tick() => Some(AgentCall::Input(AgentInput::Tick)),
+                () = &mut stopped => None,
+            };
+            match call {
+                Some(call) => self.take(call),
+                None => return,
+            }
+        }
+    }
+
+    fn take(&mut self, call: AgentCall) {
+        match call {
+            AgentCall::Input(input) => self.step(input),
+            AgentCall::Opened { entry, link, tx } => self.opened(entry, link, tx),
+            AgentCall::Closed { entry, link } => {
+                if self.links.get(&entry).is_some_and(|l| l.number == link) {
+                    self.links.remove(&entry);
+                    self.step(AgentInput::Gone(entry));
+                }
+            }
+            AgentCall::Ping { entry, number } => {
+                let pong = proto::Pong { number };
+                self.send(entry, 0, Some(proto::from_agent::Kind::Pong(pong)));
+            }
+            AgentCall::Relay(dispatch, tx) => {
+                self.relays.retain(|w| !w.tx.is_closed());
+                self.relays.push(Waiting {
+                    dispatch: dispatch.clone(),
+                    tx,
+                });
+                self.step(AgentInput::Dispatch(dispatch));
+            }
+            AgentCall::Inventory(job, generation, tx) => self.inventory(job, generation, tx),
+            AgentCall::Announced(announced) => self.announced(announced),
+            AgentCall::News(news) => self.news(news),
+            AgentCall::Idle(tx) => {
+                let idle = self.agent.as_ref().is_none_or(Agent::is_idle);
+                let _ = tx.send(idle);
+            }
+        }
+    }
+
+    fn announced(&mut self, announced: Announced) {
+        self.backend
+            .set_address(announced.address, announced.connections);
+        if !self.member {
+            // Only now is it known for which service to join.
+            self.member = true;
+            self.joining.service.clone_from(&announced.service);
+            events::ANNOUNCED.log(format_args!("service={}", announced.service));
+            self.join();
+        }
+        self.step(AgentInput::Announce(announced.slots));
+        // A heartbeat from before control was reached is remembered.
+    }
+
+    fn join(&self) {
+        let (tx, mut rx) = mpsc::channel(64);
+        let membership = Membership {
+            client: self.client.clone(),
+            clock: self.clock,
+            joining: self.joining.clone(),
+            news: tx,
+        };
+        let handle = self.handle.clone();
+        tokio::spawn(membership.run(self.stop.clone()));
+        tokio::spawn(async move {
+            while let Some(news) = rx.recv().await {
+                handle.call(AgentCall::News(news)).await;
+            }
+        });
+    }
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::Joined(incarnation) => {
+                let agent = match &self.agent {
+                    Some(former) => former.reborn(incarnation),
+                    None => Agent::new(incarnation, LIMITS),
+                };
+                match agent {
+                    Ok(agent) => self.agent = Some(agent),
+                    Err(error) => events::UNDEFINED.log(format_args!("agent: {error}")),
+                }
+                self.links = Table::default();
+                self.relays.clear();
+            }
+            News::Members(members) => {
+                for member in members.iter().filter(|m| !m.alive) {
+                    let dead = Incarnation(member.incarnation);
+                    self.links.remove(&dead);
+                    self.step(AgentInput::Dead(dead));
+                }
+            }
+            News::Settings(tree, done) => {
+                self.tree = *tree;
+                if let Some(agent) = &self.agent {
+                    // At once, not only with the next lease.
+                    let lease = agent.gate().lease();
+                    let fresh = Fresh {
+                        revision: lease.revision,
+                        until: lease.until,
+                    };
+                    self.lease(fresh);
+                }
+                let _ = done.send(());
+            }
+            News::Lease(fresh) => self.lease(fresh),
+        }
+    }
+
+    fn lease(&mut self, fresh: Fresh) {
+        let path = format!(
+            "{}/{}/{}",
+            self.joining.place, self.joining.service, self.joining.name
+        );
+        let lease = Lease {
+            revision: fresh.revision,
+            until: fresh.until,
+            allowed: !self.tree.is_out(&path),
+            window: Millis(self.tree.number("", "start_window_ms")),
+        };
+        self.step(AgentInput::Lease(lease));
+    }
+
+    fn opened(&mut self, entry: Incarnation, link: u64, tx: mpsc::Sender<proto::FromAgent>) {
+        let Some(agent) = &self.agent else {
+            return;
+        };
+        let welcome = proto::Welcome {
+            agent: agent.gate().incarnation().0,
+            stamp: self.clock.now().0,
+            service: self.joining.service.clone(),
+            slots: agent.slots(),
+        };
+        self.links.insert(entry, Link { number: link, tx });
+        self.send(entry, 0, Some(proto::from_agent::Kind::Welcome(welcome)));
+        self.step(AgentInput::Hello(entry));
+    }
+
+    fn inventory(
+        &mut self,
+        job: JobKey,
+        generation: Generation,
+        tx: oneshot::Sender<(Incarnation, Vec<Verdict>)>,
+    ) {
+        let Some(agent) = &mut self.agent else {
+            return;
+        };
+        let incarnation = agent.gate().incarnation();
+        let mut out = Vec::new();
+        let input = AgentInput::Inventory(job, generation);
+        if let Err(error) = agent.step(self.clock.now(), input, &mut out) {
+            events::UNDEFINED.log(format_args!("agent: {error}"));
+        }
+        let listed = out
+            .iter()
+            .position(|o| matches!(o, AgentOutput::Inventory(_)));
+        if let Some(i) = listed
+            && let AgentOutput::Inventory(tasks) = out.remove(i)
+        {
+            let _ = tx.send((incarnation, tasks));
+        }
+        self.put(out);
+    }
+
+    fn step(&mut self, input: AgentInput) {
+        let Some(agent) = &mut self.agent else {
+            return;
+        };
+        let mut out = Vec::new();
+        if let Err(error) = agent.step(self.clock.now(), input, &mut out) {
+            events::UNDEFINED.log(format_args!("agent: {error}"));
+        }
+        self.put(out);
+    }
+
+    fn put(&mut self, out: Vec<AgentOutput>) {
+        // Credits travel with a verdict to the same entry where there is one.
+        let mut credits: Table<Incarnation, u32> = Table::default();
+        for output in &out {
+            if let AgentOutput::Grant(entry, Grant::Give(count)) = output {
+                *credits.or_insert_with(*entry, || 0) += count;
+            }
+        }
+        for output in out {
+            match output {
+                AgentOutput::Start(dispatch) => self.start(dispatch),
+                AgentOutput::Tell(entry, verdict) => {
+                    self.answer_relay(&verdict);
+                    let given = credits.remove(&entry).unwrap_or(0);
+                    let verdict = proto::from_agent::Kind::Verdict(wire::verdict_out(verdict));
+                    self.send(entry, given, Some(verdict));
+                }
+                AgentOutput::Grant(entry, Grant::Recall(count)) => {
+                    let recall = proto::from_agent::Kind::Recall(proto::Recall { count });
+                    self.send(entry, 0, Some(recall));
+                }
+                AgentOutput::Grant(..) | AgentOutput::Inventory(_) => {}
+            }
+        }
+        let rest: Vec<(Incarnation, u32)> = credits.iter().map(|(e, n)| (*e, *n)).collect();
+        for (entry, count) in rest {
+            self.send(entry, count, None);
+        }
+    }
+
+    fn start(&mut self, dispatch: Dispatch) {
+        let same = |w: &Waiting| {
+            (w.dispatch.entry, w.dispatch.number) == (dispatch.entry, dispatch.number)
+        };
+        if let Some(i) = self.relays.iter().position(same) {
+            let waiting = self.relays.swap_remove(i);
+            if waiting.tx.send(true).is_err() {
+                // The caller went between the order and the start.
+                let fate = Fate::Failed {
+                    reason: "caller gone".to_owned(),
+                    run: Millis(0),
+                };
+                let handle = self.handle.clone();
+                tokio::spawn(async move { handle.finished(&dispatch, fate).await });
+            }
+            return;
+        }
+        let (backend, handle) = (self.backend.clone(), self.handle.clone());
+        tokio::spawn(async move {
+            let fate = backend.run(&dispatch).await;
+            handle.finished(&dispatch, fate).await;
+        });
+    }
+
+    /// A request's relay ends when its dispatch was not run.
+    fn answer_relay(&mut self, verdict: &Verdict) {
+        if !matches!(verdict.fate, Fate::NotRun(_)) {
+            return;
+        }
+        let same =
+            |w: &Waiting| w.dispatch.number == verdict.number && w.dispatch.job == verdict.job;
+        if let Some(i) = self.relays.iter().position(same) {
+            let _ = self.relays.swap_remove(i).tx.send(false);
+        }
+    }
+
+    fn send(&mut self, entry: Incarnation, credits: u32, kind: Option<proto::from_agent::Kind>) {
+        let Some(link) = self.links.get(&entry) else {
+            return;
+        };
+        let message = proto::FromAgent {
+            stamp: self.clock.now().0,
+            credits,
+            kind,
+        };
+        if link.tx.try_send(message).is_err() {
+            // The entry does not keep up: it opens a new link and asks.
+            self.links.remove(&entry);
+            let handle = self.handle.clone();
+            tokio::spawn(async move { handle.input(AgentInput::Gone(entry)).await });
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, handle: AgentHandle, backend: Backend, stop: Stop) {
+    let service = AgentServer::new(Rpc { handle, backend });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = Server::builder().add_service(service);
+    if let Err(error) = server
+        .serve_with_incoming_shutdown(incoming, stop.wait())
+        .await
+    {
+        events::SERVER_FAILED.log(format_args!("agent: {error}"));
+    }
+}
+
+struct Rpc {
+    handle: AgentHandle,
+    backend: Backend,
+}
+
+type Down<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl proto::agent_server::Agent for Rpc {
+    type LinkStream = Down<proto::FromAgent>;
+    type RelayStream = Down<proto::RelayDown>;
+
+    async fn link(
+        &self,
+        request: Request<Streaming<proto::ToAgent>>,
+    ) -> Result<Response<Self::LinkStream>, Status> {
+        let mut up = request.into_inner();
+        let first = up.message().await?.and_then(|m| m.kind);
+        let Some(proto::to_agent::Kind::Hello(hello)) = first else {
+            return Err(Status::invalid_argument("a link starts with hello"));
+        };
+        let entry = Incarnation(hello.entry);
+        let link = rand::random::<u64>();
+        let (tx, rx) = mpsc::channel(LINK);
+        let handle = self.handle.clone();
+        handle.call(AgentCall::Opened { entry, link, tx }).await;
+        tokio::spawn(async move {
+            while let Ok(Some(message)) = up.message().await {
+                if let Some(kind) = message.kind {
+                    handle.call(call_in(entry, kind)).await;
+                }
+            }
+            handle.call(AgentCall::Closed { entry, link }).await;
+        });
+        let down = tokio_stream::StreamExt::map(ReceiverStream::new(rx), Ok);
+        Ok(Response::new(Box::pin(down)))
+    }
+
+    async fn relay(
+        &self,
+        request: Request<Streaming<proto::RelayUp>>,
+    ) -> Result<Response<Self::RelayStream>, Status> {
+        let mut up = request.into_inner();
+        let first = up.message().await?.and_then(|m| m.kind);
+        let Some(proto::relay_up::Kind::Head(head)) = first else {
+            return Err(Status::invalid_argument(
+                "a relay starts with the request's head",
+            ));
+        };
+        let down = relay::serve(head, up, self.handle.clone(), self.backend.clone());
+        Ok(Response::new(Box::pin(ReceiverStream::new(down))))
+    }
+
+    async fn inventory(
+        &self,
+        request: Request<proto::InventoryRequest>,
+    ) -> Result<Response<proto::InventoryReply>, Status> {
+        let request = request.into_inner();
+        let (tx, rx) = oneshot::channel();
+        let key = wire::job_in(request.job);
+        let call = AgentCall::Inventory(key, Generation(request.generation), tx);
+        self.handle.call(call).await;
+        let (agent, tasks) = rx
+            .await
+            .map_err(|_| Status::unavailable("not a member yet"))?;
+        let tasks = tasks.into_iter().map(wire::verdict_out).collect();
+        Ok(Response::new(proto::InventoryReply {
+            agent: agent.0,
+            tasks,
+        }))
+    }
+}
+
+fn call_in(entry: Incarnation, kind: proto::to_agent::Kind) -> AgentCall {
+    use proto::to_agent::Kind;
+    let input = match kind {
+        Kind::Hello(_) => AgentInput::Tick,
+        Kind::Dispatch(d) => AgentInput::Dispatch(wire::dispatch_in(d)),
+        Kind::Ask(ask) => {
+            AgentInput::Ask(ask.dispatches.into_iter().map(wire::dispatch_in).collect())
+        }
+        Kind::Want(want) => AgentInput::Want(entry, want.count),
+        Kind::GiveBack(back) => AgentInput::GiveBack(entry, back.count),
+        Kind::Cancel(cancel) => {
+            AgentInput::Cancel(wire::job_in(cancel.job), Generation(cancel.generation))
+        }
+        Kind::Recorded(recorded) => AgentInput::Recorded(wire::job_in(recorded.job)),
+        Kind::Ping(ping) => {
+            return AgentCall::Ping {
+                entry,
+                number: ping.number,
+            };
+        }
+    };
+    AgentCall::Input(input)
+}
+
+/// Bodies travel as they are.
+pub(crate) fn chunk_up(message: proto::RelayUp) -> Option<Bytes> {
+    match message.kind {
+        Some(proto::relay_up::Kind::Chunk(chunk)) => Some(chunk),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/shell/announce.rs
@@ -0,0 +1,84 @@
+//! Where a backend server tells its agent that it is there.
+
+use std::convert::Infallible;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+use tokio::net::TcpListener;
+
+use super::agent::{AgentCall, AgentHandle};
+use super::http::{self, Problem, Reply};
+use super::stop::Stop;
+use crate::control::settings::is_name;
+use crate::core::agent::AgentInput;
+
+/// Largest announcement, in bytes.
+const LIMIT: usize = 16 << 10;
+/// Most slots of one backend server.
+const MAX_SLOTS: u32 = 10_000;
+
+/// A backend server's word on itself.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Announced {
+    pub(crate) service: String,
+    /// IP and port.
+    pub(crate) address: String,
+    /// Tasks it runs at a time.
+    pub(crate) slots: u32,
+    /// Connections it takes.
+    pub(crate) connections: u32,
+}
+
+pub(crate) async fn serve(listener: TcpListener, handle: AgentHandle, stop: Stop) {
+    let service = tower::service_fn(move |request| {
+        let handle = handle.clone();
+        async move { Ok::<_, Infallible>(answer(request, &handle).await) }
+    });
+    http::serve(listener, service, stop).await;
+}
+
+async fn answer(request: Request<Incoming>, handle: &AgentHandle) -> Reply {
+    let known = request.uri().path() == "/v1/backend-server";
+    let put = match (known, request.method()) {
+        (true, &Method::PUT) => true,
+        (true, &Method::DELETE) => false,
+        _ => {
+            let detail = "PUT or DELETE /v1/backend-server";
+            return Problem::refused(StatusCode::NOT_FOUND, "not found", detail).reply();
+        }
+    };
+    if !put {
+        handle.input(AgentInput::Drain).await;
+        return http::text_reply(StatusCode::OK, "draining\n");
+    }
+    match read(request).await {
+        Ok(announced) => {
+            handle.call(AgentCall::Announced(announced)).await;
+            http::text_reply(StatusCode::OK, "noted\n")
+        }
+        Err(problem) => problem.reply(),
+    }
+}
+
+async fn read(request: Request<Incoming>) -> Result<Announced, Problem> {
+    let body = http::read_body(request.into_body(), LIMIT).await?;
+    let announced: Announced = http::from_json(&body)?;
+    let address: Result<std::net::SocketAddr, _> = announced.address.parse();
+    let slots = (1..=MAX_SLOTS).contains(&announced.slots);
+    let detail = if !is_name(&announced.service) {
+        "service: letters, digits, '-', '_' and '.' only, at most 64"
+    } else if address.is_err() {
+        "address: IP and port"
+    } else if !slots || announced.connections < announced.slots {
+        "slots: 1 to 10000, and at least as many connections"
+    } else {
+        return Ok(announced);
+    };
+    Err(Problem::refused(
+        StatusCode::BAD_REQUEST,
+        "bad announcement",
+        detail,
+    ))
+}
--- /dev/null
+++ b/src/shell/control_rpc.rs
@@ -0,0 +1,310 @@
+//! What a control instance serves to the system's own processes.
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::clock::{Clock, wall};
+use super::control::{ControlHandle, Gone, Heard};
+use super::stop::Stop;
+use super::wire;
+use crate::control::command::{Command, ProcessRole, Reply, Stamped};
+use crate::control::log::{Index, ReplicaId};
+use crate::control::machine::{Machine, Process};
+use crate::control::message::Message;
+use crate::control::raft::RaftInput;
+use crate::control::server::{Control, ControlAnswer, ControlInput};
+use crate::core::ids::{Generation, Incarnation, Revision};
+use crate::events;
+use crate::proto;
+use crate::proto::control_server::ControlServer;
+
+/// Serves until the stop signal.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    handle: ControlHandle,
+    heard: Arc<Heard>,
+    clock: Clock,
+    stop: Stop,
+) {
+    let service = ControlServer::new(Rpc {
+        handle,
+        heard,
+        clock,
+    });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = Server::builder().add_service(service);
+    if let Err(error) = server
+        .serve_with_incoming_shutdown(incoming, stop.wait())
+        .await
+    {
+        events::SERVER_FAILED.log(format_args!("control: {error}"));
+    }
+}
+
+struct Rpc {
+    handle: ControlHandle,
+    heard: Arc<Heard>,
+    clock: Clock,
+}
+
+/// A refusal that sends the caller to another instance.
+fn not_leader(leader: Option<ReplicaId>) -> Status {
+    match leader {
+        Some(id) => Status::unavailable(format!("leader is {}", id.0)),
+        None => Status::unavailable("no leader"),
+    }
+}
+
+fn gone(_: Gone) -> Status {
+    Status::unavailable("stopping")
+}
+
+impl Rpc {
+    async fn propose(&self, command: Command) -> Result<(Reply, Addresses), Status> {
+        let stamped = Stamped {
+            at: wall(),
+            command,
+        };
+        let answer = self
+            .handle
+            .ask(
+                move |token| ControlInput::Propose(token, stamped),
+                |answer, control, _| match answer {
+                    ControlAnswer::Reply(reply) => {
+                        let addresses = Addresses::of(&reply, control.machine());
+                        Ok((reply, addresses))
+                    }
+                    ControlAnswer::Fresh { .. } => Err(None),
+                    ControlAnswer::NotLeader(leader) => Err(leader),
+                },
+            )
+            .await
+            .map_err(gone)?;
+        answer.map_err(not_leader)
+    }
+
+    async fn lookup(&self, key: crate::core::ids::JobKey) -> Result<proto::ClaimReply, Status> {
+        let answer = self
+            .handle
+            .ask(ControlInput::Read, move |answer, control, _| match answer {
+                ControlAnswer::NotLeader(leader) => Err(leader),
+                _ => Ok(look(control.machine(), &key)),
+            })
+            .await
+            .map_err(gone)?;
+        answer.map_err(not_leader)
+    }
+}
+
+fn look(machine: &Machine, key: &crate::core::ids::JobKey) -> proto::ClaimReply {
+    let mut reply = proto::ClaimReply::default();
+    let Some((owner, Generation(generation))) = machine.owner(key) else {
+        reply.set_state(proto::ClaimState::Absent);
+        return reply;
+    };
+    reply.set_state(proto::ClaimState::Attached);
+    reply.owner = owner.0;
+    reply.generation = generation;
+    reply.owner_address = live_address(machine, owner);
+    reply
+}
+
+/// Empty when the process is not alive.
+fn live_address(machine: &Machine, incarnation: Incarnation) -> String {
+    let process = machine.processes().get(&incarnation).filter(|p| p.alive);
+    process.map_or_else(String::new, |p| p.joined.address.clone())
+}
+
+/// The owner's address beside a claim's answer.
+#[derive(Debug, Default)]
+struct Addresses {
+    owner: String,
+}
+
+impl Addresses {
+    fn of(reply: &Reply, machine: &Machine) -> Self {
+        let owner = match reply {
+            Reply::Claim(crate::control::command::ClaimAnswer::Attached { owner, .. }) => {
+                live_address(machine, *owner)
+            }
+            _ => String::new(),
+        };
+        Self { owner }
+    }
+}
+
+fn member(incarnation: Incarnation, process: &Process) -> proto::Member {
+    proto::Member {
+        incarnation: incarnation.0,
+        role: wire::role_out(process.joined.role).into(),
+        name: process.joined.name.clone(),
+        data_centre: process.joined.place.clone(),
+        address: process.joined.address.clone(),
+        service: process.joined.service.clone(),
+        alive: process.alive,
+    }
+}
+
+/// What a process lacks of the directory. Agents need entries only.
+fn members(machine: &Machine, to: ProcessRole, since: Index) -> Vec<proto::Member> {
+    if machine.directory() <= since {
+        return Vec::new();
+    }
+    let changed = machine.processes().iter().filter(|(_, p)| {
+        let wanted = to == ProcessRole::Entry || p.joined.role == ProcessRole::Entry;
+        // What died before a new process knew of it is no news.
+        p.changed > since && wanted && (p.alive || since > Index(0))
+    });
+    changed
+        .map(|(incarnation, p)| member(*incarnation, p))
+        .collect()
+}
+
+fn renewal(
+    control: &Control,
+    incarnation: Incarnation,
+    known: Revision,
+    since: Index,
+    lease: u64,
+) -> proto::RenewReply {
+    let machine = control.machine();
+    let role = machine.processes().get(&incarnation).map(|p| p.joined.role);
+    let rows = if machine.revision() > known {
+        machine.settings().list()
+    } else {
+        Vec::new()
+    };
+    let settings = rows
+        .into_iter()
+        .map(|o| proto::Setting {
+            path: o.path,
+            key: o.key,
+            value: o.value,
+        })
+        .collect();
+    proto::RenewReply {
+        alive: true,
+        lease_ms: lease,
+        revision: machine.revision().0,
+        settings,
+        directory: machine.directory().0,
+        members: members(machine, role.unwrap_or(ProcessRole::Agent), since),
+    }
+}
+
+#[tonic::async_trait]
+impl proto::control_server::Control for Rpc {
+    async fn join(
+        &self,
+        request: Request<proto::JoinRequest>,
+    ) -> Result<Response<proto::JoinReply>, Status> {
+        let request = request.into_inner();
+        let joining = wire::joining_in(&request);
+        match self
+            .propose(Command::Join(request.request, joining))
+            .await?
+        {
+            (Reply::Joined(incarnation), _) => Ok(Response::new(proto::JoinReply {
+                incarnation: incarnation.0,
+            })),
+            _ => Err(Status::internal("join got another command's reply")),
+        }
+    }
+
+    async fn renew(
+        &self,
+        request: Request<proto::RenewRequest>,
+    ) -> Result<Response<proto::RenewReply>, Status> {
+        let request = request.into_inner();
+        let incarnation = Incarnation(request.incarnation);
+        if request.leaving {
+            self.propose(Command::Dead(incarnation)).await?;
+            return Ok(Response::new(proto::RenewReply::default()));
+        }
+        let known = Revision(request.revision);
+        let since = Index(request.directory);
+        let answer = self
+            .handle
+            .ask(
+                move |token| ControlInput::Renew {
+                    token,
+                    incarnation,
+                    revision: known,
+                },
+                move |answer, control, _| match answer {
+                    ControlAnswer::Fresh { alive: true, lease } => {
+                        Ok(renewal(control, incarnation, known, since, lease.0))
+                    }
+                    ControlAnswer::NotLeader(leader) => Err(leader),
+                    _ => Ok(proto::RenewReply::default()),
+                },
+            )
+            .await
+            .map_err(gone)?;
+        answer.map(Response::new).map_err(not_leader)
+    }
+
+    async fn claim(
+        &self,
+        request: Request<proto::ClaimRequest>,
+    ) -> Result<Response<proto::ClaimReply>, Status> {
+        let request = request.into_inner();
+        let key = wire::job_in(request.job);
+        if request.lookup {
+            return self.lookup(key).await.map(Response::new);
+        }
+        let command = Command::Claim {
+            key,
+            service: request.service,
+            digest: request.digest.to_vec(),
+            owner: Incarnation(request.owner),
+        };
+        match self.propose(command).await? {
+            (Reply::Claim(answer), addresses) => {
+                let mut reply = wire::claim_out(answer);
+                reply.owner_address = addresses.owner;
+                Ok(Response::new(reply))
+            }
+            _ => Err(Status::internal("claim got another command's reply")),
+        }
+    }
+
+    async fn record(
+        &self,
+        request: Request<proto::RecordRequest>,
+    ) -> Result<Response<proto::RecordReply>, Status> {
+        let request = request.into_inner();
+        let outcome = wire::outcome_in(request.outcome());
+        let command = Command::Record {
+            key: wire::job_in(request.job),
+            generation: Generation(request.generation),
+            owner: Incarnation(request.owner),
+            outcome,
+        };
+        match self.propose(command).await? {
+            (Reply::Recorded(accepted), _) => Ok(Response::new(proto::RecordReply { accepted })),
+            _ => Err(Status::internal("record got another command's reply")),
+        }
+    }
+
+    async fn peer(
+        &self,
+        request: Request<Streaming<proto::PeerMessage>>,
+    ) -> Result<Response<proto::PeerReply>, Status> {
+        let mut stream = request.into_inner();
+        while let Some(message) = stream.message().await? {
+            let Ok(message) = postcard::from_bytes::<Message>(&message.body) else {
+                return Err(Status::invalid_argument("not a message of this protocol"));
+            };
+            self.heard.note(message.from.0, self.clock.now());
+            self.handle
+                .input(ControlInput::Raft(RaftInput::Receive(message)))
+                .await;
+        }
+        Ok(Response::new(proto::PeerReply {}))
+    }
+}
--- /dev/null
+++ b/src/shell/entry.rs
@@ -0,0 +1,699 @@
+//! An entry as a process: its actor and what it starts.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tonic::transport::Channel;
+
+use super::clock::Clock;
+use super::control_client::ControlClient;
+use super::links::{Link, Up, to_agent};
+use super::member::{Membership, News};
+use super::stop::{self, Stop, Stopper};
+use super::{entry_peers, jobs_http, wire};
+use crate::control::command::{Joining, ProcessRole};
+use crate::control::settings::Tree;
+use crate::core::chart::ChartError;
+use crate::core::clock::Millis;
+use crate::core::entry::{
+    Claimed, Entry, EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights,
+};
+use crate::core::gate::Dispatch;
+use crate::core::ids::{Generation, Incarnation, JobKey};
+use crate::core::job::{Answer, Handle, JobState, Kind, Submission};
+use crate::core::place::Policy;
+use crate::core::table::Table;
+use crate::events;
+use crate::proto;
+
+const TICK: Duration = Duration::from_millis(20);
+const CALLS: usize = 8_192;
+/// Pause between tries of a call to control.
+const RETRY: Duration = Duration::from_millis(50);
+/// Tries of a claim before the submission is refused.
+const CLAIM_TRIES: u32 = 200;
+/// Tries of recording an outcome.
+const RECORD_TRIES: u32 = 600;
+/// Tries of asking an agent for an inventory.
+const INVENTORY_TRIES: u32 = 600;
+
+/// An order for a request's relay, with the connection to use.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) dispatch: Dispatch,
+    pub(crate) channel: Channel,
+}
+
+/// What reaches the actor.
+pub(crate) enum EntryCall {
+    Input(EntryInput),
+    Submit(
+        Box<Submission>,
+        oneshot::Sender<Answer>,
+        Option<mpsc::Sender<Attempt>>,
+    ),
+    /// Waits for a job; `None` comes back when it is not here.
+    Poll(JobKey, oneshot::Sender<Answer>, oneshot::Sender<bool>),
+    LinkUp(Incarnation, Box<Up>),
+    LinkDown(Incarnation),
+    FromAgent(Incarnation, proto::FromAgent),
+    News(News),
+    Idle(oneshot::Sender<bool>),
+    Counts(oneshot::Sender<EntryCounts>),
+    Peer(Incarnation, oneshot::Sender<Option<String>>),
+}
+
+/// A way to the actor.
+#[derive(Clone)]
+pub(crate) struct EntryHandle {
+    tx: mpsc::Sender<EntryCall>,
+    pub(crate) shared: Arc<Shared>,
+}
+
+/// What the edges read without asking the actor.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    incarnation: AtomicU64,
+    issued: AtomicU64,
+    pub(crate) draining: AtomicBool,
+    tree: std::sync::RwLock<Arc<Tree>>,
+    pub(crate) client: ControlClient,
+    pub(crate) clock: Clock,
+    pub(crate) place: String,
+}
+
+impl Shared {
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation(self.incarnation.load(Ordering::Relaxed))
+    }
+
+    /// An id that names this entry, for a job without a key of the caller's.
+    pub(crate) fn issue(&self) -> String {
+        let number = self.issued.fetch_add(1, Ordering::Relaxed);
+        format!("~{}-{number}", self.incarnation().0)
+    }
+
+    pub(crate) fn tree(&self) -> Arc<Tree> {
+        let tree = self
+            .tree
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        Arc::clone(&tree)
+    }
+}
+
+impl EntryHandle {
+    pub(crate) async fn call(&self, call: EntryCall) {
+        // A closed channel means that the entry has stopped.
+        let _ = self.tx.send(call).await;
+    }
+
+    pub(crate) async fn input(&self, input: EntryInput) {
+        self.call(EntryCall::Input(input)).await;
+    }
+
+    /// Waits for a job of this entry; `None` when it is not here.
+    pub(crate) async fn poll(&self, key: JobKey) -> Option<oneshot::Receiver<Answer>> {
+        let (tx, rx) = oneshot::channel();
+        let (here, known) = oneshot::channel();
+        self.call(EntryCall::Poll(key, tx, here)).await;
+        known.await.ok()?.then_some(rx)
+    }
+
+    /// Address of another live entry.
+    pub(crate) async fn peer(&self, entry: Incarnation) -> Option<String> {
+        let (tx, rx) = oneshot::channel();
+        self.call(EntryCall::Peer(entry, tx)).await;
+        rx.await.ok()?
+    }
+
+    pub(crate) async fn counts(&self) -> EntryCounts {
+        let (tx, rx) = oneshot::channel();
+        self.call(EntryCall::Counts(tx)).await;
+        rx.await.unwrap_or_default()
+    }
+}
+
+/// Everything an entry needs to start.
+pub(crate) struct EntrySetup {
+    pub(crate) name: String,
+    pub(crate) place: String,
+    pub(crate) group: Vec<(u64, String)>,
+    pub(crate) callers: TcpListener,
+    pub(crate) peers: TcpListener,
+}
+
+/// A running entry.
+pub(crate) struct EntryRole {
+    pub(crate) handle: EntryHandle,
+    stopper: Stopper,
+    callers: JoinHandle<()>,
+}
+
+impl EntryRole {
+    pub(crate) fn start(setup: EntrySetup) -> Result<Self, ChartError> {
+        let (tx, rx) = mpsc::channel(CALLS);
+        let clock = Clock::new();
+        let shared = Arc::new(Shared {
+            incarnation: AtomicU64::new(0),
+            issued: AtomicU64::new(1),
+            draining: AtomicBool::new(false),
+            tree: std::sync::RwLock::default(),
+            client: ControlClient::new(setup.group),
+            clock,
+            place: setup.place.clone(),
+        });
+        let handle = EntryHandle {
+            tx,
+            shared: Arc::clone(&shared),
+        };
+        let (stopper, stop) = stop::pair();
+        let address = setup
+            .peers
+            .local_addr()
+            .map(|a| a.to_string())
+            .unwrap_or_default();
+        let joining = Joining {
+            role: ProcessRole::Entry,
+            name: setup.name.clone(),
+            place: setup.place.clone(),
+            address,
+            service: String::new(),
+        };
+        let home = setup
+            .place
+            .rsplit('/')
+            .next()
+            .unwrap_or_default()
+            .to_owned();
+        let actor = Actor {
+            entry: Entry::new(Incarnation(0), &home, EntryLimits::default())?,
+            clock,
+            handle: handle.clone(),
+            last: Handle(0),
+            waiters: Table::default(),
+            requests: Table::default(),
+            agents: Table::default(),
+            peers: Table::default(),
+        };
+        let (news, mut fresh) = mpsc::channel(64);
+        let membership = Membership {
+            client: shared.client.clone(),
+            clock,
+            joining,
+            news,
+        };
+        tokio::spawn(membership.run(stop.clone()));
+        let to_actor = handle.clone();
+        tokio::spawn(async move {
+            while let Some(news) = fresh.recv().await {
+                to_actor.call(EntryCall::News(news)).await;
+            }
+        });
+        tokio::spawn(actor.run(rx, stop.clone()));
+        tokio::spawn(entry_peers::serve(
+            setup.peers,
+            handle.clone(),
+            stop.clone(),
+        ));
+        let callers = tokio::spawn(jobs_http::serve(setup.callers, handle.clone(), stop));
+        events::STARTED.log(format_args!("entry name={}", setup.name));
+        Ok(Self {
+            handle,
+            stopper,
+            callers,
+        })
+    }
+
+    /// Takes nothing new, answers everyone who waits, and stops.
+    pub(crate) async fn stop(self) {
+        events::STOPPING.log(format_args!("entry"));
+        self.handle.shared.draining.store(true, Ordering::Relaxed);
+        self.handle.input(EntryInput::Stop).await;
+        loop {
+            let (tx, rx) = oneshot::channel();
+            self.handle.call(EntryCall::Idle(tx)).await;
+            match rx.await {
+                Ok(false) => tokio::time::sleep(TICK).await,
+                Ok(true) | Err(_) => break,
+            }
+        }
+        self.stopper.stop();
+        // The HTTP server finishes the answers in flight.
+        let _ = self.callers.await;
+        events::STOPPED.log(format_args!("entry"));
+    }
+}
+
+/// An agent of the directory.
+struct Known {
+    address: String,
+    service: String,
+    name: String,
+    place: String,
+    up: Option<Up>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Drop for Known {
+    fn drop(&mut self) {
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+}
+
+struct Actor {
+    entry: Entry,
+    clock: Clock,
+    handle: EntryHandle,
+    last: Handle,
+    waiters: Table<Handle, oneshot::Sender<Answer>>,
+    requests: Table<Handle, mpsc::Sender<Attempt>>,
+    agents: Table<Incarnation, Known>,
+    peers: Table<Incarnation, String>,
+}
+
+impl Actor {
+    async fn run(mut self, mut rx: mpsc::Receiver<EntryCall>, stop: Stop) {
+        let mut ticker = tokio::time::interval(TICK);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let stopped = stop.wait();
+        tokio::pin!(stopped);
+        loop {
+            let call = tokio::select! {
+                call = rx.recv() => call,
+                _ = ticker.tick() => Some(EntryCall::Input(EntryInput::Tick)),
+                () = &mut stopped => None,
+            };
+            match call {
+                Some(call) => self.take(call),
+                None => return,
+            }
+        }
+    }
+
+    fn take(&mut self, call: EntryCall) {
+        match call {
+            EntryCall::Input(input) => self.step(input),
+            EntryCall::Submit(submission, tx, attempts) => self.submit(*submission, tx, attempts),
+            EntryCall::Poll(key, tx, here) => {
+                let known = self.entry.knows(&key);
+                let _ = here.send(known);
+                if known {
+                    let waiter = self.next(tx);
+                    self.step(EntryInput::Poll(waiter, key));
+                }
+            }
+            EntryCall::LinkUp(agent, up) => {
+                let (slots, stamp) = (up.slots, up.stamp);
+                if let Some(known) = self.agents.get_mut(&agent) {
+                    known.up = Some(*up);
+                    self.step(EntryInput::Linked(agent, slots, stamp));
+                }
+            }
+            EntryCall::LinkDown(agent) => {
+                if let Some(known) = self.agents.get_mut(&agent) {
+                    known.up = None;
+                    self.step(EntryInput::Unlinked(agent));
+                }
+            }
+            EntryCall::FromAgent(agent, message) => self.heard(agent, message),
+            EntryCall::News(news) => self.news(news),
+            EntryCall::Idle(tx) => {
+                let _ = tx.send(self.entry.is_idle());
+            }
+            EntryCall::Counts(tx) => {
+                let _ = tx.send(self.entry.counts());
+            }
+            EntryCall::Peer(entry, tx) => {
+                let _ = tx.send(self.peers.get(&entry).cloned());
+            }
+        }
+    }
+
+    fn next(&mut self, tx: oneshot::Sender<Answer>) -> Handle {
+        self.last = Handle(self.last.0 + 1);
+        self.waiters.insert(self.last, tx);
+        self.last
+    }
+
+    fn submit(
+        &mut self,
+        mut submission: Submission,
+        tx: oneshot::Sender<Answer>,
+        attempts: Option<mpsc::Sender<Attempt>>,
+    ) {
+        submission.handle = self.next(tx);
+        if let Some(attempts) = attempts {
+            self.requests.insert(submission.handle, attempts);
+        }
+        self.step(EntryInput::Submit(submission));
+    }
+
+    fn heard(&mut self, agent: Incarnation, message: proto::FromAgent) {
+        let stamp = Millis(message.stamp);
+        self.step(EntryInput::Credits(agent, message.credits, stamp));
+        match message.kind {
+            Some(proto::from_agent::Kind::Verdict(verdict)) => {
+                self.step(EntryInput::Verdict(wire::verdict_in(verdict)));
+            }
+            Some(proto::from_agent::Kind::Recall(recall)) => {
+                self.step(EntryInput::Recall(agent, recall.count));
+            }
+            Some(proto::from_agent::Kind::Welcome(_) | proto::from_agent::Kind::Pong(_)) | None => {
+            }
+        }
+    }
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::Joined(incarnation) => {
+                self.handle
+                    .shared
+                    .incarnation
+                    .store(incarnation.0, Ordering::Relaxed);
+                // Links are of the former incarnation.
+                self.agents = Table::default();
+                self.step(EntryInput::Rejoined(incarnation));
+            }
+            News::Members(members) => {
+                for member in members {
+                    self.member(member);
+                }
+            }
+            News::Settings(tree, done) => {
+                self.settings(*tree);
+                let _ = done.send(());
+            }
+            News::Lease(fresh) => self.step(EntryInput::Lease(fresh.until)),
+        }
+    }
+
+    fn member(&mut self, member: proto::Member) {
+        let incarnation = Incarnation(member.incarnation);
+        let is_agent = member.role() == proto::Role::Agent;
+        match (is_agent, member.alive) {
+            (true, true) => self.agent_up(incarnation, member),
+            (true, false) => {
+                self.agents.remove(&incarnation);
+                self.step(EntryInput::AgentDead(incarnation));
+            }
+            (false, true) => {
+                self.peers.insert(incarnation, member.address);
+            }
+            (false, false) => {
+                self.peers.remove(&incarnation);
+            }
+        }
+    }
+
+    fn agent_up(&mut self, agent: Incarnation, member: proto::Member) {
+        if self.agents.get(&agent).is_some() {
+            return;
+        }
+        let link = Link {
+            agent,
+            address: member.address.clone(),
+            entry: self.handle.shared.incarnation(),
+            handle: self.handle.clone(),
+            clock: self.clock,
+        };
+        let known = Known {
+            address: member.address,
+            service: member.service,
+            name: member.name,
+            place: member.data_centre,
+            up: None,
+            task: Some(tokio::spawn(link.run())),
+        };
+        self.agents.insert(agent, known);
+        self.open_agents(&[agent]);
+    }
+
+    /// Tells the decisions which agents the settings leave in work.
+    fn open_agents(&mut self, agents: &[Incarnation]) {
+        let tree = self.handle.shared.tree();
+        for agent in agents {
+            let Some(known) = self.agents.get(agent) else {
+                continue;
+            };
+            let path = format!("{}/{}/{}", known.place, known.service, known.name);
+            let data_centre = known
+                .place
+                .rsplit('/')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
+            let up = EntryInput::AgentUp {
+                agent: *agent,
+                service: known.service.clone(),
+                data_centre,
+                open: !tree.is_out(&path),
+            };
+            self.step(up);
+        }
+    }
+
+    fn settings(&mut self, tree: Tree) {
+        let limits = EntryLimits {
+            policy: policy_of(&tree),
+            stretch: percent(tree.number("", "stretch_percent")),
+            max_wait: Millis(tree.number(&self.handle.shared.place, "max_wait_ms")),
+            grace: Millis(tree.number("", "grace_ms")),
+            retain: Millis(tree.number("", "retain_ms")),
+            ..EntryLimits::default()
+        };
+        let rights = rights(&tree, self.peers.len());
+        {
+            let mut shared = match self.handle.shared.tree.write() {
+                Ok(shared) => shared,
+                Err(poisoned) => poisoned.into_inner(),
+            };
+            *shared = Arc::new(tree);
+        }
+        self.step(EntryInput::Limits(limits));
+        self.step(EntryInput::Teams(rights));
+        let agents: Vec<Incarnation> = self.agents.iter().map(|(agent, _)| *agent).collect();
+        self.open_agents(&agents);
+    }
+
+    fn step(&mut self, input: EntryInput) {
+        let mut out = Vec::new();
+        if let Err(error) = self.entry.step(self.clock.now(), input, &mut out) {
+            events::UNDEFINED.log(format_args!("entry: {error}"));
+        }
+        for output in out {
+            self.put(output);
+        }
+    }
+
+    fn put(&mut self, output: EntryOutput) {
+        use proto::to_agent::Kind as To;
+        match output {
+            EntryOutput::Claim(handle, key, digest) => self.claim(handle, key, digest),
+            EntryOutput::Dispatch(handle, kind, dispatch) => self.dispatch(handle, kind, &dispatch),
+            EntryOutput::Ask(agent, dispatches) => {
+                let dispatches = dispatches.iter().map(wire::dispatch_out).collect();
+                self.send(agent, To::Ask(proto::Ask { dispatches }));
+            }
+            EntryOutput::Want(agent, count) => {
+                metrics::counter!("fulmardrift_wants").increment(1);
+                self.send(agent, To::Want(proto::Want { count }));
+            }
+            EntryOutput::GiveBack(agent, count) => {
+                self.send(agent, To::GiveBack(proto::GiveBack { count }));
+            }
+            EntryOutput::Cancel(agent, key, generation) => {
+                let job = Some(wire::job_out(&key));
+                self.send(
+                    agent,
+                    To::Cancel(proto::Cancel {
+                        job,
+                        generation: generation.0,
+                    }),
+                );
+            }
+            EntryOutput::Inventory(handle, agent, key, generation) => {
+                self.inventory(handle, agent, key, generation);
+            }
+            EntryOutput::Attach(handle, key) => {
+                let to = self.handle.clone();
+                tokio::spawn(entry_peers::attach(to, handle, key));
+            }
+            EntryOutput::Record {
+                key,
+                generation,
+                outcome,
+                agents,
+            } => {
+                self.record(key, generation, outcome, &agents);
+            }
+            EntryOutput::Answer(handle, answer) => {
+                self.requests.remove(&handle);
+                if let Some(tx) = self.waiters.remove(&handle) {
+                    // The caller may have stopped waiting.
+                    let _ = tx.send(answer);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, agent: Incarnation, kind: proto::to_agent::Kind) {
+        let Some(known) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        if let Some(up) = &known.up
+            && up.tx.try_send(to_agent(kind)).is_err()
+        {
+            // It does not keep up: the link's heartbeat will replace it.
+            known.up = None;
+        }
+    }
+
+    fn dispatch(&mut self, handle: Handle, kind: Kind, dispatch: &Dispatch) {
+        metrics::counter!("fulmardrift_dispatches").increment(1);
+        if kind == Kind::Job {
+            let agent = dispatch.agent;
+            let order = proto::to_agent::Kind::Dispatch(wire::dispatch_out(dispatch));
+            self.send(agent, order);
+            return;
+        }
+        let up = self
+            .agents
+            .get(&dispatch.agent)
+            .and_then(|known| known.up.as_ref());
+        if let (Some(up), Some(tx)) = (up, self.requests.get(&handle)) {
+            let attempt = Attempt {
+                dispatch: dispatch.clone(),
+                channel: up.channel.clone(),
+            };
+            if tx.try_send(attempt).is_ok() {
+                return;
+            }
+        }
+        // Nobody relays it; the agent says so, or learns that it must not start.
+        let ask = proto::Ask {
+            dispatches: vec![wire::dispatch_out(dispatch)],
+        };
+        self.send(dispatch.agent, proto::to_agent::Kind::Ask(ask));
+    }
+
+    fn claim(&self, handle: Handle, key: JobKey, digest: Vec<u8>) {
+        let to = self.handle.clone();
+        let service = self.entry.service(handle).unwrap_or_default();
+        tokio::spawn(async move {
+            for _ in 0..CLAIM_TRIES {
+                let request = proto::ClaimRequest {
+                    job: Some(wire::job_out(&key)),
+                    digest: digest.clone().into(),
+                    owner: to.shared.incarnation().0,
+                    service: service.clone(),
+                    lookup: false,
+                };
+                let reply = to.shared.client.claim(request).await;
+                if let Some(claimed) = reply.ok().as_ref().and_then(wire::claim_in) {
+                    to.input(EntryInput::Claimed(handle, claimed)).await;
+                    return;
+                }
+                tokio::time::sleep(RETRY).await;
+            }
+            to.input(EntryInput::Claimed(handle, Claimed::Unknown))
+                .await;
+        });
+    }
+
+    fn record(
+        &self,
+        key: JobKey,
+        generation: Generation,
+        outcome: JobState,
+        agents: &[Incarnation],
+    ) {
+        let to = self.handle.clone();
+        let links: Vec<mpsc::Sender<proto::ToAgent>> = agents
+            .iter()
+            .filter_map(|a| Some(self.agents.get(a)?.up.as_ref()?.tx.clone()))
+            .collect();
+        tokio::spawn(async move {
+            for _ in 0..RECORD_TRIES {
+                let mut request = proto::RecordRequest {
+                    job: Some(wire::job_out(&key)),
+                    generation: generation.0,
+                    owner: to.shared.incarnation().0,
+                    ..proto::RecordRequest::default()
+                };
+                request.set_outcome(wire::outcome_out(outcome));
+                if to.shared.client.record(request).await.is_ok() {
+                    let recorded = proto::Recorded {
+                        job: Some(wire::job_out(&key)),
+                    };
+                    for link in links {
+                        let kind = proto::to_agent::Kind::Recorded(recorded.clone());
+                        let _ = link.try_send(to_agent(kind));
+                    }
+                    return;
+                }
+                tokio::time::sleep(RETRY).await;
+            }
+        });
+    }
+
+    fn inventory(&self, handle: Handle, agent: Incarnation, key: JobKey, generation: Generation) {
+        let to = self.handle.clone();
+        let address = self.agents.get(&agent).map(|known| known.address.clone());
+        tokio::spawn(async move {
+            let mut tasks = None;
+            if let Some(address) = address {
+                for _ in 0..INVENTORY_TRIES {
+                    tasks = entry_peers::inventory(&address, agent, &key, generation).await;
+                    if tasks.is_some() {
+                        break;
+                    }
+                    tokio::time::sleep(RETRY).await;
+                }
+            }
+            to.input(EntryInput::Inventory(handle, agent, tasks)).await;
+        });
+    }
+}
+
+fn policy_of(tree: &Tree) -> Policy {
+    let name = tree
+        .effective("", "policy")
+        .map(|e| e.value)
+        .unwrap_or_default();
+    match name.as_str() {
+        "random" => Policy::Random,
+        "least-outstanding" => Policy::LeastOutstanding,
+        "two-probes" => Policy::TwoProbes,
+        _ => Policy::LeastFinish,
+    }
+}
+
+fn percent(value: u64) -> f64 {
+    Millis(value).as_f64() / 100.0
+}
+
+/// The teams' rights at one of `entries` entries: caps are split evenly.
+fn rights(tree: &Tree, entries: usize) -> Vec<TeamRights> {
+    let entries = u64::try_from(entries.max(1)).unwrap_or(1);
+    let mut rights = Vec::new();
+    for team in tree.teams() {
+        let share = tree.number("", &format!("teams.{team}.share"));
+        let cap_key = format!("teams.{team}.cap");
+        let cap = tree
+            .get("", &cap_key)
+            .map(|_| tree.number("", &cap_key).div_ceil(entries));
+        rights.push(TeamRights {
+            team,
+            share: u32::try_from(share).unwrap_or(u32::MAX),
+            cap: cap.map(|cap| u32::try_from(cap).unwrap_or(u32::MAX)),
+        });
+    }
+    rights
+}
--- /dev/null
+++ b/src/shell/entry_peers.rs
@@ -0,0 +1,194 @@
+//! What entries ask of each other and of agents.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+use super::entry::{EntryCall, EntryHandle};
+use super::jobs_http::Rendered;
+use super::peers::connect;
+use super::stop::Stop;
+use super::wire;
+use crate::core::entry::EntryInput;
+use crate::core::gate::Verdict;
+use crate::core::ids::{Generation, Incarnation, JobKey};
+use crate::core::job::Handle;
+use crate::events;
+use crate::proto;
+use crate::proto::agent_client::AgentClient;
+use crate::proto::entry_client::EntryClient;
+use crate::proto::entry_server::EntryServer;
+
+/// Pause before an owner that did not answer is looked up anew.
+const RETRY: Duration = Duration::from_millis(200);
+/// How long one call waits for a job's end.
+const WAIT: Duration = Duration::from_secs(5);
+/// Time beyond the wait after which a call counts as lost.
+const SLACK: Duration = Duration::from_secs(2);
+/// Time an agent has for an inventory.
+const INVENTORY: Duration = Duration::from_secs(2);
+/// Largest message from an agent, in bytes.
+const MESSAGE_LIMIT: usize = 256 << 20;
+
+/// Serves other entries until the stop signal.
+pub(crate) async fn serve(listener: TcpListener, handle: EntryHandle, stop: Stop) {
+    let service = EntryServer::new(Rpc { handle });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = Server::builder().add_service(service);
+    if let Err(error) = server
+        .serve_with_incoming_shutdown(incoming, stop.wait())
+        .await
+    {
+        events::SERVER_FAILED.log(format_args!("entry: {error}"));
+    }
+}
+
+struct Rpc {
+    handle: EntryHandle,
+}
+
+#[tonic::async_trait]
+impl proto::entry_server::Entry for Rpc {
+    async fn r#await(
+        &self,
+        request: Request<proto::AwaitRequest>,
+    ) -> Result<Response<proto::AwaitReply>, Status> {
+        let request = request.into_inner();
+        let key = wire::job_in(request.job);
+        if request.cancel {
+            self.handle.input(EntryInput::Cancel(key.clone())).await;
+        }
+        let Some(answer) = self.handle.poll(key).await else {
+            return Ok(Response::new(proto::AwaitReply::default()));
+        };
+        let wait = Duration::from_millis(request.wait_ms);
+        let reply = match tokio::time::timeout(wait, answer).await {
+            Ok(Ok(answer)) => {
+                let rendered = Rendered::of(&answer);
+                proto::AwaitReply {
+                    owned: true,
+                    settled: true,
+                    status: u32::from(rendered.status.as_u16()),
+                    body: rendered.body,
+                }
+            }
+            Ok(Err(_)) => return Err(Status::unavailable("stopping")),
+            Err(_) => proto::AwaitReply {
+                owned: true,
+                ..proto::AwaitReply::default()
+            },
+        };
+        Ok(Response::new(reply))
+    }
+}
+
+/// An owner's word on a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Word {
+    Settled {
+        status: u16,
+        body: Bytes,
+    },
+    Running,
+    /// The owner does not have it.
+    Disowned,
+    /// The owner did not answer.
+    Silent,
+    /// Control knows no claim of the key.
+    Absent,
+}
+
+/// Asks the entry at `address` for a job.
+pub(crate) async fn ask(address: &str, key: &JobKey, wait: Duration, cancel: bool) -> Word {
+    let call = async {
+        let mut client =
+            EntryClient::new(connect(address).await?).max_decoding_message_size(MESSAGE_LIMIT);
+        let request = proto::AwaitRequest {
+            job: Some(wire::job_out(key)),
+            generation: 0,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            cancel,
+        };
+        Some(client.r#await(request).await.ok()?.into_inner())
+    };
+    match tokio::time::timeout(wait + SLACK, call).await {
+        Ok(Some(reply)) if !reply.owned => Word::Disowned,
+        Ok(Some(reply)) if reply.settled => {
+            let status = u16::try_from(reply.status).unwrap_or(500);
+            Word::Settled {
+                status,
+                body: reply.body,
+            }
+        }
+        Ok(Some(_)) => Word::Running,
+        Ok(None) | Err(_) => Word::Silent,
+    }
+}
+
+/// Asks control for a job's owner, and the owner for the job.
+pub(crate) async fn ask_owner(
+    handle: &EntryHandle,
+    key: &JobKey,
+    wait: Duration,
+    cancel: bool,
+) -> Word {
+    let lookup = proto::ClaimRequest {
+        job: Some(wire::job_out(key)),
+        lookup: true,
+        ..proto::ClaimRequest::default()
+    };
+    let Ok(reply) = handle.shared.client.claim(lookup).await else {
+        return Word::Silent;
+    };
+    if reply.state() == proto::ClaimState::Absent {
+        return Word::Absent;
+    }
+    if reply.owner_address.is_empty() || reply.owner == handle.shared.incarnation().0 {
+        return Word::Disowned;
+    }
+    ask(&reply.owner_address, key, wait, cancel).await
+}
+
+/// Waits for the owner of an attached job, and hands its answer in.
+pub(crate) async fn attach(to: EntryHandle, handle: Handle, key: JobKey) {
+    loop {
+        match ask_owner(&to, &key, WAIT, false).await {
+            Word::Settled { status, body } => {
+                to.call(EntryCall::Input(EntryInput::Relayed(handle, status, body)))
+                    .await;
+                return;
+            }
+            Word::Running => {}
+            Word::Silent => tokio::time::sleep(RETRY).await,
+            Word::Disowned | Word::Absent => {
+                tokio::time::sleep(RETRY).await;
+                to.input(EntryInput::Reclaim(handle)).await;
+                return;
+            }
+        }
+    }
+}
+
+/// One try of an inventory; `None` when this incarnation did not answer.
+pub(crate) async fn inventory(
+    address: &str,
+    agent: Incarnation,
+    key: &JobKey,
+    generation: Generation,
+) -> Option<Vec<Verdict>> {
+    let call = async {
+        let mut client =
+            AgentClient::new(connect(address).await?).max_decoding_message_size(MESSAGE_LIMIT);
+        let request = proto::InventoryRequest {
+            job: Some(wire::job_out(key)),
+            generation: generation.0,
+        };
+        Some(client.inventory(request).await.ok()?.into_inner())
+    };
+    let reply = tokio::time::timeout(INVENTORY, call).await.ok()??;
+    (reply.agent == agent.0).then(|| reply.tasks.into_iter().map(wire::verdict_in).collect())
+}
--- /dev/null
+++ b/src/shell/mod.rs
@@ -0,0 +1,22 @@
+//! The thin layer between the decisions and the outside.
+
+pub(crate) mod admin;
+pub(crate) mod agent;
+pub(crate) mod announce;
+pub(crate) mod backend;
+pub(crate) mod clock;
+pub(crate) mod control;
+pub(crate) mod control_client;
+pub(crate) mod control_rpc;
+pub(crate) mod entry;
+pub(crate) mod entry_peers;
+pub(crate) mod http;
+pub(crate) mod jobs_http;
+pub(crate) mod links;
+pub(crate) mod member;
+pub(crate) mod peers;
+pub(crate) mod relay;
+pub(crate) mod requests_http;
+pub(crate) mod stand_in;
+pub(crate) mod stop;
+pub(crate) mod wire;
--- /dev/null
+++ b/src/shell/stand_in.rs
@@ -0,0 +1,283 @@
+//! A stand-in for a backend server: works for a declared time at its own speed,
+//! and counts what must not happen.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::Mutex;
+
+use super::http::{self, HEADER_JOB, HEADER_TASK, Problem, Reply};
+use super::stop::{self, Stop, Stopper};
+use crate::core::table::Table;
+use crate::events;
+
+/// Pause between announcements.
+const ANNOUNCE: Duration = Duration::from_millis(500);
+/// Largest payload, in bytes.
+const LIMIT: usize = 16 << 20;
+/// Longest work taken, in milliseconds.
+const MAX_WORK_MS: u64 = 60_000;
+
+/// What one stand-in has seen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StandInCounts {
+    /// Tasks and requests started.
+    pub starts: u64,
+    /// Tasks started a second time here.
+    pub duplicates: u64,
+    /// Starts after the data centre was out and the lease term had passed.
+    pub late: u64,
+    /// Most tasks at a time.
+    pub peak: u64,
+    /// Work done, in milliseconds of a server of speed 1.
+    pub work_ms: u64,
+}
+
+/// Starts seen by all stand-ins of one process.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger {
+    starts: Mutex<Table<(String, String), u32>>,
+}
+
+impl Ledger {
+    /// Counts a start; true when it is not the first.
+    async fn start(&self, job: &str, task: &str) -> bool {
+        let mut starts = self.starts.lock().await;
+        let count = starts.or_insert_with((job.to_owned(), task.to_owned()), || 0);
+        *count += 1;
+        *count > 1
+    }
+}
+
+/// Everything a stand-in needs to start.
+pub(crate) struct StandInSetup {
+    pub(crate) listener: TcpListener,
+    /// The agent's announce address.
+    pub(crate) agent: String,
+    pub(crate) service: String,
+    pub(crate) slots: u32,
+    pub(crate) speed: f64,
+    pub(crate) broken: bool,
+    pub(crate) ledger: Arc<Ledger>,
+}
+
+/// A running stand-in.
+pub(crate) struct StandInRole {
+    pub(crate) server: Arc<Server>,
+    stopper: Stopper,
+}
+
+pub(crate) struct Server {
+    agent: String,
+    address: String,
+    service: String,
+    slots: u32,
+    speed: f64,
+    broken: bool,
+    ledger: Arc<Ledger>,
+    // While true no start is allowed.
+    closed: AtomicBool,
+    starts: AtomicU64,
+    duplicates: AtomicU64,
+    late: AtomicU64,
+    busy: AtomicU64,
+    peak: AtomicU64,
+    work: AtomicU64,
+}
+
+impl StandInRole {
+    pub(crate) fn start(setup: StandInSetup) -> std::io::Result<Self> {
+        let address = setup.listener.local_addr()?.to_string();
+        let server = Arc::new(Server {
+            agent: setup.agent,
+            address,
+            service: setup.service,
+            slots: setup.slots,
+            speed: setup.speed,
+            broken: setup.broken,
+            ledger: setup.ledger,
+            closed: AtomicBool::new(false),
+            starts: AtomicU64::new(0),
+            duplicates: AtomicU64::new(0),
+            late: AtomicU64::new(0),
+            busy: AtomicU64::new(0),
+            peak: AtomicU64::new(0),
+            work: AtomicU64::new(0),
+        });
+        let (stopper, stop) = stop::pair();
+        let serving = Arc::clone(&server);
+        let service = tower::service_fn(move |request| {
+            let server = Arc::clone(&serving);
+            async move { Ok::<_, Infallible>(server.answer(request).await) }
+        });
+        tokio::spawn(http::serve(setup.listener, service, stop.clone()));
+        tokio::spawn(announce_for_ever(Arc::clone(&server), stop));
+        Ok(Self { server, stopper })
+    }
+
+    pub(crate) async fn stop(self) {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let _ = client
+            .request(self.server.announcement(Method::DELETE))
+            .await;
+        // What is in flight finishes.
+        while self.server.busy.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.stopper.stop();
+        events::STOPPED.log(format_args!("stand-in"));
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct Announcement<'a> {
+    service: &'a str,
+    address: &'a str,
+    slots: u32,
+    connections: u32,
+}
+
+/// Connections a backend server takes for each slot.
+const CONNECTIONS_PER_SLOT: u32 = 7;
+
+async fn announce_for_ever(server: Arc<Server>, stop: Stop) {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let stopped = stop.wait();
+    tokio::pin!(stopped);
+    loop {
+        let announcing = client.request(server.announcement(Method::PUT));
+        // An agent that is not up yet is told again.
+        let _ = tokio::time::timeout(ANNOUNCE, announcing).await;
+        tokio::select! {
+            () = tokio::time::sleep(ANNOUNCE) => {}
+            () = &mut stopped => return,
+        }
+    }
+}
+
+/// What a payload asks for.
+#[derive(Debug, Default, Deserialize)]
+struct Work {
+    work_ms: Option<u64>,
+    #[serde(default)]
+    fail: bool,
+}
+
+impl Server {
+    fn announcement(&self, method: Method) -> Request<http_body_util::Full<Bytes>> {
+        let announcement = Announcement {
+            service: &self.service,
+            address: &self.address,
+            slots: self.slots,
+            connections: self.slots * CONNECTIONS_PER_SLOT,
+        };
+        let body = serde_json::to_vec(&announcement).unwrap_or_default();
+        let mut request = Request::new(http_body_util::Full::new(Bytes::from(body)));
+        *request.method_mut() = method;
+        let uri = format!("http://{}/v1/backend-server", self.agent);
+        *request.uri_mut() = uri.parse().unwrap_or_default();
+        request
+    }
+
+    /// From now on, or no longer, every start counts as late.
+    pub(crate) fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Ordering::Relaxed);
+    }
+
+    pub(crate) fn counts(&self) -> StandInCounts {
+        StandInCounts {
+            starts: self.starts.load(Ordering::Relaxed),
+            duplicates: self.duplicates.load(Ordering::Relaxed),
+            late: self.late.load(Ordering::Relaxed),
+            peak: self.peak.load(Ordering::Relaxed),
+            work_ms: self.work.load(Ordering::Relaxed),
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        match request.uri().path() {
+            "/counts" => http::json_reply(StatusCode::OK, &self.counts()),
+            "/closed" => {
+                self.set_closed(request.method() == Method::PUT);
+                http::text_reply(StatusCode::OK, "noted\n")
+            }
+            "/tasks" if request.method() == Method::POST => self.task(request).await,
+            _ => self.echo(request).await,
+        }
+    }
+
+    fn started(&self) {
+        self.starts.fetch_add(1, Ordering::Relaxed);
+        if self.closed.load(Ordering::Relaxed) {
+            self.late.fetch_add(1, Ordering::Relaxed);
+        }
+        let busy = self.busy.fetch_add(1, Ordering::Relaxed) + 1;
+        self.peak.fetch_max(busy, Ordering::Relaxed);
+    }
+
+    async fn task(&self, request: Request<Incoming>) -> Reply {
+        let start = Instant::now();
+        let job = http::header(&request, HEADER_JOB)
+            .unwrap_or_default()
+            .to_owned();
+        let task = http::header(&request, HEADER_TASK)
+            .unwrap_or_default()
+            .to_owned();
+        self.started();
+        if self.ledger.start(&job, &task).await {
+            self.duplicates.fetch_add(1, Ordering::Relaxed);
+            log::warn!("second start of {job} task {task}");
+        }
+        let reply = self.work(request, start).await;
+        self.busy.fetch_sub(1, Ordering::Relaxed);
+        let mut reply = reply.unwrap_or_else(|problem| problem.reply());
+        for (name, value) in [(HEADER_JOB, &job), (HEADER_TASK, &task)] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                reply.headers_mut().insert(name, value);
+            }
+        }
+        reply
+    }
+
+    async fn work(&self, request: Request<Incoming>, start: Instant) -> Result<Reply, Problem> {
+        let body = http::read_body(request.into_body(), LIMIT).await?;
+        let work: Work = serde_json::from_slice(&body).unwrap_or_default();
+        let ms = work.work_ms.unwrap_or(0).min(MAX_WORK_MS);
+        if work.fail || self.broken {
+            let code = StatusCode::INTERNAL_SERVER_ERROR;
+            return Err(Problem::refused(code, "failed", "this stand-in fails"));
+        }
+        let run = Duration::from_millis(ms).div_f64(self.speed);
+        tokio::time::sleep_until((start + run).into()).await;
+        self.work.fetch_add(ms, Ordering::Relaxed);
+        // The result names its payload, so that a crossed answer shows.
+        Ok(http::bytes_reply(
+            StatusCode::OK,
+            "application/octet-stream",
+            body,
+        ))
+    }
+
+    /// Answers a request with its own body as it comes.
+    async fn echo(&self, request: Request<Incoming>) -> Reply {
+        self.started();
+        let work = http::query(&request, "work_ms")
+            .and_then(|ms| ms.parse().ok())
+            .unwrap_or(0);
+        let run = Duration::from_millis(work).div_f64(self.speed);
+        tokio::time::sleep(run).await;
+        self.busy.fetch_sub(1, Ordering::Relaxed);
+        hyper::Response::new(request.into_body().map_err(http::BoxError::from).boxed())
+    }
+}
--- /dev/null
+++ b/src/shell/wire.rs
@@ -0,0 +1,223 @@
+//! Between the messages of the wire and those of the decisions.
+
+use crate::control::command::{ClaimAnswer, Joining, Outcome, ProcessRole};
+use crate::core::clock::Millis;
+use crate::core::entry::Claimed;
+use crate::core::gate::{Dispatch, Fate, NotRun, Verdict};
+use crate::core::ids::{Generation, Incarnation, JobKey, Number};
+use crate::core::job::JobState;
+use crate::proto;
+
+pub(crate) fn job_out(key: &JobKey) -> proto::JobKey {
+    proto::JobKey {
+        team: key.team.clone(),
+        id: key.id.clone(),
+    }
+}
+
+pub(crate) fn job_in(key: Option<proto::JobKey>) -> JobKey {
+    let key = key.unwrap_or_default();
+    JobKey {
+        team: key.team,
+        id: key.id,
+    }
+}
+
+pub(crate) fn dispatch_out(d: &Dispatch) -> proto::Dispatch {
+    proto::Dispatch {
+        number: d.number.0,
+        job: Some(job_out(&d.job)),
+        task: d.task,
+        generation: d.generation.0,
+        entry: d.entry.0,
+        agent: d.agent.0,
+        stamp: d.stamp.0,
+        payload: d.payload.clone(),
+    }
+}
+
+pub(crate) fn dispatch_in(d: proto::Dispatch) -> Dispatch {
+    Dispatch {
+        number: Number(d.number),
+        job: job_in(d.job),
+        task: d.task,
+        generation: Generation(d.generation),
+        entry: Incarnation(d.entry),
+        agent: Incarnation(d.agent),
+        stamp: Millis(d.stamp),
+        payload: d.payload,
+    }
+}
+
+pub(crate) fn verdict_out(v: Verdict) -> proto::Verdict {
+    let mut wire = proto::Verdict {
+        number: v.number.0,
+        job: Some(job_out(&v.job)),
+        task: v.task,
+        generation: v.generation.0,
+        agent: v.agent.0,
+        ..proto::Verdict::default()
+    };
+    match v.fate {
+        Fate::NotRun(reason) => {
+            wire.set_state(proto::TaskState::NotRun);
+            wire.reason = not_run_out(reason).to_owned();
+        }
+        Fate::Queued => wire.set_state(proto::TaskState::Queued),
+        Fate::Running => wire.set_state(proto::TaskState::Running),
+        Fate::Done { body, run } => {
+            wire.set_state(proto::TaskState::Done);
+            wire.body = body;
+            wire.run_ms = run.0;
+        }
+        Fate::Failed { reason, run } => {
+            wire.set_state(proto::TaskState::Failed);
+            wire.reason = reason;
+            wire.run_ms = run.0;
+        }
+    }
+    wire
+}
+
+pub(crate) fn verdict_in(v: proto::Verdict) -> Verdict {
+    let fate = match v.state() {
+        proto::TaskState::NotRun => Fate::NotRun(not_run_in(&v.reason)),
+        proto::TaskState::Queued => Fate::Queued,
+        proto::TaskState::Running => Fate::Running,
+        proto::TaskState::Done => Fate::Done {
+            body: v.body,
+            run: Millis(v.run_ms),
+        },
+        proto::TaskState::Failed => Fate::Failed {
+            reason: v.reason,
+            run: Millis(v.run_ms),
+        },
+    };
+    Verdict {
+        number: Number(v.number),
+        job: job_in(v.job),
+        task: v.task,
+        generation: Generation(v.generation),
+        agent: Incarnation(v.agent),
+        fate,
+    }
+}
+
+const NOT_RUN: [(NotRun, &str); 10] = [
+    (NotRun::OtherAgent, "other-agent"),
+    (NotRun::DeadEntry, "dead-entry"),
+    (NotRun::OldGeneration, "old-generation"),
+    (NotRun::WindowClosed, "window-closed"),
+    (NotRun::NoLease, "no-lease"),
+    (NotRun::Out, "out"),
+    (NotRun::NoCredit, "no-credit"),
+    (NotRun::Withdrawn, "withdrawn"),
+    (NotRun::Leaving, "leaving"),
+    (NotRun::Declined, "declined"),
+];
+
+fn not_run_out(reason: NotRun) -> &'static str {
+    let row = NOT_RUN.iter().find(|(r, _)| *r == reason);
+    row.map_or("withdrawn", |(_, name)| name)
+}
+
+fn not_run_in(name: &str) -> NotRun {
+    let row = NOT_RUN.iter().find(|(_, n)| *n == name);
+    row.map_or(NotRun::Withdrawn, |(r, _)| *r)
+}
+
+pub(crate) fn joining_in(request: &proto::JoinRequest) -> Joining {
+    let role = match request.role() {
+        proto::Role::Entry => ProcessRole::Entry,
+        proto::Role::Agent => ProcessRole::Agent,
+    };
+    Joining {
+        role,
+        name: request.name.clone(),
+        place: request.data_centre.clone(),
+        address: request.address.clone(),
+        service: request.service.clone(),
+    }
+}
+
+pub(crate) fn joining_out(joining: &Joining, request: String) -> proto::JoinRequest {
+    let role = role_out(joining.role);
+    proto::JoinRequest {
+        role: role.into(),
+        name: joining.name.clone(),
+        data_centre: joining.place.clone(),
+        address: joining.address.clone(),
+        service: joining.service.clone(),
+        request,
+    }
+}
+
+pub(crate) fn role_out(role: ProcessRole) -> proto::Role {
+    match role {
+        ProcessRole::Entry => proto::Role::Entry,
+        ProcessRole::Agent => proto::Role::Agent,
+    }
+}
+
+pub(crate) fn claim_out(answer: ClaimAnswer) -> proto::ClaimReply {
+    let mut reply = proto::ClaimReply::default();
+    match answer {
+        ClaimAnswer::Granted(generation) => {
+            reply.set_state(proto::ClaimState::Granted);
+            reply.generation = generation.0;
+        }
+        ClaimAnswer::Attached { owner, generation } => {
+            reply.set_state(proto::ClaimState::Attached);
+            reply.owner = owner.0;
+            reply.generation = generation.0;
+        }
+        ClaimAnswer::Conflict => reply.set_state(proto::ClaimState::Conflict),
+        ClaimAnswer::DeadOwner => reply.set_state(proto::ClaimState::DeadOwner),
+        ClaimAnswer::TakenOver {
+            generation,
+            agents,
+            lost,
+            settled,
+        } => {
+            reply.set_state(proto::ClaimState::TakenOver);
+            reply.generation = generation.0;
+            reply.agents = agents.iter().map(|a| a.0).collect();
+            reply.lost = lost;
+            reply.complete = settled;
+        }
+    }
+    reply
+}
+
+/// `None` when the asking entry must join anew first.
+pub(crate) fn claim_in(reply: &proto::ClaimReply) -> Option<Claimed> {
+    let generation = Generation(reply.generation);
+    match reply.state() {
+        proto::ClaimState::Granted => Some(Claimed::Granted(generation)),
+        proto::ClaimState::Attached => Some(Claimed::Attached),
+        proto::ClaimState::Conflict => Some(Claimed::Conflict),
+        proto::ClaimState::TakenOver => Some(Claimed::TakenOver {
+            generation,
+            agents: reply.agents.iter().map(|a| Incarnation(*a)).collect(),
+            lost: reply.lost,
+            settled: reply.complete,
+        }),
+        proto::ClaimState::DeadOwner | proto::ClaimState::Absent => None,
+    }
+}
+
+pub(crate) fn outcome_out(state: JobState) -> proto::Outcome {
+    match state {
+        JobState::Complete => proto::Outcome::Complete,
+        JobState::Refused => proto::Outcome::Refused,
+        _ => proto::Outcome::Failed,
+    }
+}
+
+pub(crate) fn outcome_in(outcome: proto::Outcome) -> Outcome {
+    match outcome {
+        proto::Outcome::Complete => Outcome::Complete,
+        proto::Outcome::Failed => Outcome::Failed,
+        proto::Outcome::Refused => Outcome::Refused,
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,5 @@
+//! Durable state under one data folder.
+
+pub(crate) mod folder;
+pub(crate) mod frame;
+pub(crate) mod wal;
