Spare the fast slots for the tasks that jobs wait for; ask only for useful credits

Cause: (1) an agent's first announcement came before it had an incarnation and was dropped, so entries were welcomed with 0 slots and ranked jobs by their whole work; (2) every task took the slot of least finish, so short tasks of a job held the fast slots its own and others' longest tasks were waiting for; (3) an entry asked every agent for credits whenever anything waited, also where it would not have used them, so idle slow slots travelled between the entries.

Change: the announcement is kept until there is an incarnation; a task that has time until its job's expected end goes to the slowest free slot that makes it; credits are asked for only where a task would be placed if a slot came free.

Stretch 100 becomes the default.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -24,7 +24,7 @@
 use crate::shell::stand_in::{Ledger, StandInCounts, StandInRole, StandInSetup};
 
 const USAGE: &str = "usage: fulmardriftd demo [--seconds N] [--load PERCENT] [--seed N]
-                         [--policy NAME] [--steady]
+                         [--policy NAME] [--stretch N] [--steady]
 
 Runs every role in this process on loopback: a control group of three, two
 entries, and ten stand-in backend servers of unequal speed in three data centres.
@@ -36,6 +36,7 @@
   --load PERCENT    of what all slots can do (45)
   --seed N          of the load (1)
   --policy NAME     how backend servers are chosen (least-finish)
+  --stretch N       how far short jobs go before long ones, in percent (100)
   --steady          leave all data centres in
 ";
 
@@ -59,6 +60,7 @@
         optional --load percent: f64
         optional --seed seed: u64
         optional --policy name: String
+        optional --stretch percent: String
         optional --steady
     }
 }
@@ -326,6 +328,9 @@
     if let Some(policy) = &args.policy {
         stage.change("", "policy", Some(policy)).await?;
     }
+    if let Some(percent) = &args.stretch {
+        stage.change("", "stretch_percent", Some(percent)).await?;
+    }
     stage.ready(&drive).await?;
     let (_, before) = stage.counts().await;
     let caller = Caller::new(stage.callers.clone());
--- a/src/core/dispatching.rs
+++ b/src/core/dispatching.rs
@@ -9,9 +9,8 @@
 use super::place::{Place, Policy, Pool};
 use super::queue::Queue;
 
-/// Where a free slot was left idle on purpose, credits are not asked for again
-/// for so long.
-const DECLINE_PAUSE: Millis = Millis(200);
+/// Slots that other entries hold are looked for this often.
+const SEEK_PAUSE: Millis = Millis(10);
 
 /// A task and where it goes.
 #[derive(Debug, Clone, Copy)]
@@ -20,6 +19,7 @@
     task: u32,
     agent: Incarnation,
     run: f64,
+    finish: f64,
 }
 
 impl Entry {
@@ -43,7 +43,7 @@
     }
 
     /// Puts a job's waiting tasks into the queue, the longest first.
-    pub(crate) fn enqueue(&mut self, now: Millis, handle: Handle) {
+    pub(crate) fn enqueue(&mut self, handle: Handle) {
         let policy = self.limits.policy;
         let Some(job) = self.jobs.get(&handle) else {
             return;
@@ -80,9 +80,12 @@
         let length = |i: &u32| pool.estimator.typical(tasks[*i as usize].declared);
         job.waiting
             .sort_by(|a, b| length(a).total_cmp(&length(b)).then(b.cmp(a)));
-        let alone = job.work / f64::from(pool.slots().max(1));
+        // Alone, it takes as long as its longest task, or as all its work.
+        let longest = job.waiting.last().map(|i| tasks[*i as usize].declared);
+        let longest = longest.map_or(0.0, |declared| pool.fastest(declared));
+        let alone = (job.work / f64::from(pool.slots().max(1))).max(longest);
         job.rank = match policy {
-            Policy::LeastFinish => now.0 + to_millis(alone * self.limits.stretch).0,
+            Policy::LeastFinish => job.arrived.0 + to_millis(alone * self.limits.stretch).0,
             _ => job.arrived.0,
         };
         if !job.waiting.is_empty() {
@@ -98,14 +101,13 @@
         }
         let services: Vec<String> = self.queues.iter().map(|(s, _)| s.clone()).collect();
         for service in services {
-            for pick in self.picks(now, &service) {
+            for pick in self.picks(now, &service, out) {
                 self.send(now, &service, pick, out);
             }
-            self.ask_credits(now, &service, out);
         }
     }
 
-    fn picks(&mut self, now: Millis, service: &String) -> Vec<Pick> {
+    fn picks(&mut self, now: Millis, service: &String, out: &mut Vec<EntryOutput>) -> Vec<Pick> {
         let mut picks = Vec::new();
         let (Some(pool), Some(queue)) = (self.pools.get(service), self.queues.get(service)) else {
             return picks;
@@ -113,14 +115,20 @@
         if queue.is_empty() {
             return picks;
         }
-        let Some(mut view) = pool.view(now, &self.home) else {
+        let mut view = pool.view(now, &self.home);
+        // When no slot is free, look now and then for those that others hold.
+        let seeking = now.since(pool.sought) >= SEEK_PAUSE;
+        if view.is_full() && !seeking {
             return picks;
-        };
+        }
         let bound = self.limits.policy != Policy::LeastFinish;
         let teams = &self.teams;
         let mut cursor = queue.cursor(|team| Self::allowance(teams, team));
         let mut looked = 0;
-        while !view.is_full() && (bound || looked < self.limits.lookahead) {
+        // The job being placed, and the expected end of its last task.
+        let mut current = None;
+        let mut target = 0.0_f64;
+        while (seeking || !view.is_full()) && (bound || looked < self.limits.lookahead) {
             let Some((handle, nth)) = cursor.peek() else {
                 break;
             };
@@ -128,6 +136,10 @@
                 cursor.pass(0.0, true);
                 continue;
             };
+            if current != Some(handle) {
+                current = Some(handle);
+                target = job.target;
+            }
             let last = nth + 1 >= job.waiting.len();
             let Some(index) = job
                 .waiting
@@ -142,30 +154,53 @@
             let place = if view.has(&task.pins) {
                 view.place_bound(&pool.estimator, task.declared, &task.pins)
             } else {
-                view.place(&pool.estimator, task.declared)
+                view.place(&pool.estimator, task.declared, target)
             };
-            if let Place::Now { agent, run } = place {
+            if let Place::Later { finish } = place
+                && finish < f64::MAX
+            {
+                target = target.max(finish);
+            }
+            if let Place::Now { agent, run, finish } = place {
+                target = target.max(finish);
                 picks.push(Pick {
                     handle,
                     task: index,
                     agent,
                     run,
+                    finish,
                 });
             }
             cursor.pass(pool.estimator.typical(task.declared), last);
             looked += 1;
         }
-        let idle: Vec<Incarnation> = view.idle().collect();
-        self.note_idle(now, service, &idle);
+        if seeking {
+            let sought: Vec<(Incarnation, u32)> = view.sought().collect();
+            self.seek(now, service, &sought, out);
+        }
         picks
     }
 
-    fn note_idle(&mut self, now: Millis, service: &String, idle: &[Incarnation]) {
-        if let Some(pool) = self.pools.get_mut(service) {
-            for agent in idle {
-                if let Some(server) = pool.servers.get_mut(agent) {
-                    server.declined = Some(now);
-                }
+    /// Asks agents for slots that others hold.
+    fn seek(
+        &mut self,
+        now: Millis,
+        service: &String,
+        sought: &[(Incarnation, u32)],
+        out: &mut Vec<EntryOutput>,
+    ) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        pool.sought = now;
+        for (agent, count) in sought {
+            let Some(server) = pool.servers.get_mut(agent) else {
+                continue;
+            };
+            if server.wanted == 0 {
+                server.wanted = *count;
+                self.counts.credit_messages += 1;
+                out.push(EntryOutput::Want(*agent, *count));
             }
         }
     }
@@ -185,6 +220,7 @@
         let cost = pool
             .estimator
             .typical(job.tasks[pick.task as usize].declared);
+        job.target = job.target.max(pick.finish);
         job.tasks[pick.task as usize].step = Step::Out(number);
         job.waiting.retain(|task| *task != pick.task);
         job.work = (job.work - cost).max(0.0);
@@ -229,32 +265,6 @@
         })
     }
 
-    fn ask_credits(&mut self, now: Millis, service: &String, out: &mut Vec<EntryOutput>) {
-        let (Some(pool), Some(queue)) = (self.pools.get_mut(service), self.queues.get(service))
-        else {
-            return;
-        };
-        let jobs = queue.handles().filter_map(|h| self.jobs.get(&h));
-        let waiting: usize = jobs.map(|job| job.waiting.len()).sum();
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        for (agent, server) in pool.servers.iter_mut() {
-            let declined = server
-                .declined
-                .is_some_and(|at| now.since(at) < DECLINE_PAUSE);
-            let hungry = waiting > 0 && server.credits == 0 && !declined;
-            let live = server.linked && server.open;
-            if live && hungry && server.wanted == 0 {
-                server.wanted = waiting;
-                self.counts.credit_messages += 1;
-                out.push(EntryOutput::Want(*agent, waiting));
-            } else if live && waiting == 0 && server.wanted > 0 {
-                server.wanted = 0;
-                self.counts.credit_messages += 1;
-                out.push(EntryOutput::Want(*agent, 0));
-            }
-        }
-    }
-
     pub(crate) fn team_freed(&mut self, handle: Handle) {
         if let Some(job) = self.jobs.get(&handle)
             && let Some(team) = self.teams.get_mut(&job.key.team)
@@ -283,7 +293,7 @@
                 Ok(())
             }
             Fate::NotRun(reason) => {
-                self.take_back(now, verdict.number, sent, reason, out);
+                self.take_back(verdict.number, sent, reason, out);
                 Ok(())
             }
             fate => self.ended(now, verdict.number, sent, fate, out),
@@ -315,14 +325,7 @@
     }
 
     /// A dispatch was not run: its task waits again.
-    fn take_back(
-        &mut self,
-        now: Millis,
-        number: Number,
-        sent: Out,
-        reason: NotRun,
-        out: &mut Vec<EntryOutput>,
-    ) {
+    fn take_back(&mut self, number: Number, sent: Out, reason: NotRun, out: &mut Vec<EntryOutput>) {
         self.counts.returned += 1;
         self.close(number, sent);
         if let Some(server) = self.server(sent.agent) {
@@ -345,7 +348,7 @@
         if let Some(queue) = self.queues.get_mut(&service) {
             queue.remove(&team, rank, sent.handle);
         }
-        self.enqueue(now, sent.handle);
+        self.enqueue(sent.handle);
     }
 
     fn ended(
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -45,7 +45,7 @@
     fn default() -> Self {
         Self {
             policy: Policy::LeastFinish,
-            stretch: 3.0,
+            stretch: 1.0,
             max_wait: Millis(60_000),
             grace: Millis(5_000),
             retain: Millis(60_000),
@@ -402,7 +402,7 @@
         let ready = job.state == JobState::Running;
         self.jobs.insert(handle, job);
         if ready {
-            self.enqueue(now, handle);
+            self.enqueue(handle);
         }
     }
 
@@ -527,7 +527,7 @@
             Claimed::Granted(generation) => {
                 job.state = self.chart.next(job.state, JobEvent::Granted)?;
                 job.generation = generation;
-                self.enqueue(now, handle);
+                self.enqueue(handle);
             }
             Claimed::Attached => {
                 job.state = self.chart.next(job.state, JobEvent::Attached)?;
@@ -616,7 +616,7 @@
             return self.settle(now, handle, Answer::Failed(Failure::ResultsGone), out);
         }
         job.state = self.chart.next(job.state, JobEvent::Granted)?;
-        self.enqueue(now, handle);
+        self.enqueue(handle);
         Ok(())
     }
 
@@ -825,7 +825,7 @@
             step: Step::Waiting,
             ..task
         });
-        self.enqueue(now, handle);
+        self.enqueue(handle);
         true
     }
 
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -202,6 +202,8 @@
     pub(crate) answer: Option<Answer>,
     pub(crate) settled: Millis,
     pub(crate) rank: u64,
+    // Expected end of the task that ends last, among those sent.
+    pub(crate) target: f64,
 }
 
 impl Job {
@@ -233,6 +235,7 @@
             answer: None,
             settled: now,
             rank: 0,
+            target: 0.0,
         }
     }
 
--- a/src/core/place.rs
+++ b/src/core/place.rs
@@ -44,8 +44,6 @@
     pub(crate) stamp: Millis,
     // What the agent was last told is wanted.
     pub(crate) wanted: u32,
-    // When a free slot here was last left idle on purpose.
-    pub(crate) declined: Option<Millis>,
     pub(crate) breaker: Breaker,
     // Tasks bound here by a baseline policy.
     pub(crate) bound: u32,
@@ -69,6 +67,10 @@
         );
     }
 
+    fn busy(&self) -> u32 {
+        u32::try_from(self.stays.len()).unwrap_or(u32::MAX)
+    }
+
     pub(crate) fn over(&mut self, number: Number) {
         self.stays.remove(&number);
     }
@@ -89,6 +91,8 @@
 pub(crate) struct Pool {
     pub(crate) servers: Table<Incarnation, Server>,
     pub(crate) estimator: Estimator,
+    // When credits were last looked for.
+    pub(crate) sought: Millis,
 }
 
 /// One backend server while tasks are being placed.
@@ -96,6 +100,10 @@
 struct Candidate {
     agent: Incarnation,
     free: u32,
+    // Slots that other entries hold or use.
+    hidden: u32,
+    // Tasks that would go there if a slot came free at once.
+    useful: u32,
     ends: Vec<f64>,
     // Added to the expected finish, to prefer the own data centre.
     handicap: f64,
@@ -109,19 +117,37 @@
     candidates: Vec<Candidate>,
 }
 
-/// Where a task goes, or that it waits.
+/// Where a task goes, or that it waits; with its expected end.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Place {
-    Now { agent: Incarnation, run: f64 },
-    Later,
+    Now {
+        agent: Incarnation,
+        run: f64,
+        finish: f64,
+    },
+    Later {
+        finish: f64,
+    },
+}
+
+/// One place for one task.
+#[derive(Debug, Clone, Copy)]
+struct Choice {
+    // Index of the candidate.
+    at: usize,
+    run: f64,
+    finish: f64,
 }
 
 /// Cost of another data centre in the comparison of finish times, in milliseconds.
 const REMOTE_MS: f64 = 3.0;
+/// A task counts as in time on a slower slot when so many times its expected run
+/// time still fits: expectations are rough.
+const SLACK: f64 = 1.5;
 
 impl Pool {
-    /// What can be placed at `now`; `None` when no slot is free.
-    pub(crate) fn view(&self, now: Millis, home: &str) -> Option<View> {
+    /// What can be placed at `now`.
+    pub(crate) fn view(&self, now: Millis, home: &str) -> View {
         // When most look broken, the tasks are to blame, not the servers.
         let suspects = self
             .servers
@@ -135,9 +161,6 @@
                 free += server.credits;
             }
         }
-        if free == 0 {
-            return None;
-        }
         let live = self.servers.iter().filter(|(_, s)| s.linked && s.open);
         let healthy = live.filter(|(_, s)| panic || s.breaker.allows(now));
         let candidates = healthy.map(|(agent, s)| Candidate {
@@ -148,6 +171,8 @@
             } else {
                 s.credits.min(1)
             },
+            hidden: s.slots.saturating_sub(s.credits + s.busy()),
+            useful: 0,
             ends: s.ends(now),
             handicap: if s.data_centre == home {
                 0.0
@@ -155,11 +180,11 @@
                 REMOTE_MS
             },
         });
-        Some(View {
+        View {
             now: now.as_f64(),
             free,
             candidates: candidates.collect(),
-        })
+        }
     }
 
     /// Slots of all backend servers that take work.
@@ -168,6 +193,13 @@
         open.map(|(_, s)| s.slots).sum()
     }
 
+    /// Expected run time in milliseconds where it is least.
+    pub(crate) fn fastest(&self, declared: Option<Millis>) -> f64 {
+        let open = self.servers.iter().filter(|(_, s)| s.open);
+        let runs = open.map(|(agent, _)| self.estimator.expect(*agent, declared));
+        runs.min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
     /// Binds a task on arrival, as the baseline policies do.
     pub(crate) fn bind(
         &mut self,
@@ -201,10 +233,18 @@
         self.free == 0
     }
 
-    /// Puts a task where it is expected to finish first, now or after waiting.
-    pub(crate) fn place(&mut self, estimator: &Estimator, declared: Option<Millis>) -> Place {
+    /// Puts a task where it is expected to finish first, now or after waiting;
+    /// or, when it has time until `target`, on the slowest free slot that makes
+    /// it, so that the fast ones stay free for the tasks that jobs wait for.
+    pub(crate) fn place(
+        &mut self,
+        estimator: &Estimator,
+        declared: Option<Millis>,
+        target: f64,
+    ) -> Place {
         let now = self.now;
-        let mut best: Option<(f64, f64, usize)> = None;
+        let mut best: Option<Choice> = None;
+        let mut spare: Option<Choice> = None;
         for (i, c) in self.candidates.iter().enumerate() {
             let start = if c.free > 0 {
                 now
@@ -212,25 +252,40 @@
                 c.ends.first().copied().unwrap_or(f64::MAX)
             };
             let run = estimator.expect(c.agent, declared);
-            let finish = start + run + c.handicap;
-            if best.is_none_or(|(least, ..)| finish < least) {
-                best = Some((finish, run, i));
+            let option = Choice {
+                at: i,
+                run,
+                finish: start + run + c.handicap,
+            };
+            if best.is_none_or(|b| option.finish < b.finish) {
+                best = Some(option);
             }
+            let in_time = c.free > 0 && now + run * SLACK + c.handicap <= target;
+            if in_time && spare.is_none_or(|s| option.run > s.run) {
+                spare = Some(option);
+            }
+        }
+        if let Some(Choice { at, run, finish }) = spare {
+            return self.take(at, run, finish);
         }
-        let Some((finish, run, i)) = best else {
-            return Place::Later;
+        let Some(Choice { at, run, finish }) = best else {
+            return Place::Later { finish: f64::MAX };
         };
-        let chosen = &mut self.candidates[i];
+        let chosen = &mut self.candidates[at];
         if chosen.free > 0 {
-            return self.take(i, run);
+            return self.take(at, run, finish);
+        }
+        if let Some(sought) = self.seek(estimator, declared, finish) {
+            return sought;
         }
+        let chosen = &mut self.candidates[at];
         // The slot that comes free first is spoken for until this task ends.
         if !chosen.ends.is_empty() {
             chosen.ends.remove(0);
             let at = chosen.ends.partition_point(|end| *end < finish);
             chosen.ends.insert(at, finish);
         }
-        Place::Later
+        Place::Later { finish }
     }
 
     /// Puts a task bound to `pins` on the first of them with a free slot.
@@ -242,13 +297,18 @@
     ) -> Place {
         let fits = |c: &Candidate| c.free > 0 && pins.contains(&c.agent);
         let Some(i) = self.candidates.iter().position(fits) else {
-            return Place::Later;
+            let held = |c: &&mut Candidate| c.hidden > 0 && pins.contains(&c.agent);
+            if let Some(chosen) = self.candidates.iter_mut().find(held) {
+                chosen.hidden -= 1;
+                chosen.useful += 1;
+            }
+            return Place::Later { finish: f64::MAX };
         };
         let run = estimator.expect(self.candidates[i].agent, declared);
-        self.take(i, run)
+        self.take(i, run, self.now + run)
     }
 
-    fn take(&mut self, i: usize, run: f64) -> Place {
+    fn take(&mut self, i: usize, run: f64, finish: f64) -> Place {
         let chosen = &mut self.candidates[i];
         chosen.free -= 1;
         self.free -= 1;
@@ -258,13 +318,38 @@
         Place::Now {
             agent: chosen.agent,
             run,
+            finish,
+        }
+    }
+
+    /// A slot held by another entry that would do better than waiting.
+    fn seek(
+        &mut self,
+        estimator: &Estimator,
+        declared: Option<Millis>,
+        wait: f64,
+    ) -> Option<Place> {
+        let mut best: Option<Choice> = None;
+        for (i, c) in self.candidates.iter().enumerate() {
+            let run = estimator.expect(c.agent, declared);
+            let finish = self.now + run + c.handicap;
+            let better = best.is_none_or(|b| finish < b.finish) && finish < wait;
+            if c.hidden > 0 && better {
+                best = Some(Choice { at: i, run, finish });
+            }
         }
+        let Choice { at, finish, .. } = best?;
+        let chosen = &mut self.candidates[at];
+        chosen.hidden -= 1;
+        chosen.useful += 1;
+        Some(Place::Later { finish })
     }
 
-    /// Agents with slots left free.
-    pub(crate) fn idle(&self) -> impl Iterator<Item = Incarnation> {
-        let idle = self.candidates.iter().filter(|c| c.free > 0);
-        idle.map(|c| c.agent)
+    /// Agents whose slots others hold, with the number of tasks that would go
+    /// there.
+    pub(crate) fn sought(&self) -> impl Iterator<Item = (Incarnation, u32)> {
+        let useful = self.candidates.iter().filter(|c| c.useful > 0);
+        useful.map(|c| (c.agent, c.useful))
     }
 
     pub(crate) fn has(&self, pins: &[Incarnation]) -> bool {
--- a/src/shell/agent.rs
+++ b/src/shell/agent.rs
@@ -137,6 +137,7 @@
             relays: Vec::new(),
             stop: stop.clone(),
             member: false,
+            slots: 0,
         };
         tokio::spawn(actor.run(rx, stop.clone()));
         tokio::spawn(serve(setup.peers, handle.clone(), backend, stop.clone()));
@@ -188,6 +189,8 @@
     relays: Vec<Waiting>,
     stop: Stop,
     member: bool,
+    // As last announced; before control was reached, too.
+    slots: u32,
 }
 
 impl Actor {
@@ -251,8 +254,12 @@
             events::ANNOUNCED.log(format_args!("service={}", announced.service));
             self.join();
         }
-        self.step(AgentInput::Announce(announced.slots));
-        // A heartbeat from before control was reached is remembered.
+        if announced.slots != self.slots {
+            self.slots = announced.slots;
+            // Entries learn the number when they link anew.
+            self.links = Table::default();
+        }
+        self.step(AgentInput::Announce(self.slots));
     }
 
     fn join(&self) {
@@ -285,6 +292,7 @@
                 }
                 self.links = Table::default();
                 self.relays.clear();
+                self.step(AgentInput::Announce(self.slots));
             }
             News::Members(members) => {
                 for member in members.iter().filter(|m| !m.alive) {
--- a/src/shell/wire.rs
+++ b/src/shell/wire.rs
@@ -61,7 +61,7 @@
     match v.fate {
         Fate::NotRun(reason) => {
             wire.set_state(proto::TaskState::NotRun);
-            wire.reason = not_run_out(reason).to_owned();
+            not_run_out(reason).clone_into(&mut wire.reason);
         }
         Fate::Queued => wire.set_state(proto::TaskState::Queued),
         Fate::Running => wire.set_state(proto::TaskState::Running),
