--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -15,6 +15,9 @@
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 
+/// Keeps seed and disk identity from cancelling each other out.
+const SEED_SHIFT: u32 = 32;
+
 /// Times of the protocol.
 #[derive(Debug, Clone, Copy)]
 pub struct RaftTiming {
@@ -175,7 +178,7 @@
             unsynced: Vec::new(),
             vote_write: 0,
             synced_write: 0,
-            rng: Pcg64Mcg::seed_from_u64(seed ^ durable.disk.0),
+            rng: Pcg64Mcg::seed_from_u64(seed.rotate_left(SEED_SHIFT) ^ durable.disk.0),
         };
         for record in durable.records {
             raft.replay(record);
