Model checking of claim, dispatch and start over the real decisions; mend a false 'not run'

Cause: the checker's first counterexample. A task ran and its verdict was still on its way when the agent dropped the job's ledger by age; a late copy of the dispatch was then refused as closed window, 'not run', and the entry sent the task elsewhere: started twice.

Change: the gate knows how far its ledger reaches back. What is older is answered 'failed, no longer on record, it may have run'. A dispatch that is asked about keeps the stamp it was sent with. A take-over of a claim older than the agents keep results starts nothing.

Ruled out: keeping ledgers for ever (memory grows without a bound).

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -152,6 +152,8 @@
         lost: bool,
         /// True complete, false failed, `None` while it was open.
         settled: Option<bool>,
+        /// Time since the first claim, by the leaders' wall clocks.
+        age: Millis,
     },
     /// The asking entry is not alive in the directory.
     DeadOwner,
--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -2,7 +2,7 @@
 
 use super::log::{Index, Payload, Position, ReplicaId, Term, Voter};
 use super::message::Body;
-use super::raft::{Progress, Raft, RaftOutput, RaftRole};
+use super::raft::{Progress, Raft, RaftGuard, RaftOutput, RaftRole};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 
@@ -50,7 +50,7 @@
 
     /// True while a leader may rely on this replica's support.
     fn is_led(&self, now: Millis) -> bool {
-        self.is_leader() || now < self.heard + self.timing.election
+        self.on(RaftGuard::Loyalty) && (self.is_leader() || now < self.heard + self.timing.election)
     }
 
     pub(crate) fn on_pre_voted(
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -59,6 +59,8 @@
     generation: Generation,
     // Log index of the first claim: agents dead since may have run tasks.
     since: Index,
+    // Wall-clock time of the first claim.
+    at: Millis,
     outcome: Option<Outcome>,
 }
 
@@ -112,6 +114,7 @@
                     owner,
                     generation: Generation(1),
                     since: index,
+                    at,
                     outcome: None,
                 };
                 Reply::Claim(self.claim(at, key, asked))
@@ -183,7 +186,7 @@
             generation: Generation(generation.0 + 1),
             ..known.clone()
         };
-        let answer = self.take_over(&moved);
+        let answer = self.take_over(at, &moved);
         let moved = Claim {
             outcome: moved.outcome.filter(|o| *o != Outcome::Refused),
             ..moved
@@ -192,7 +195,7 @@
         answer
     }
 
-    fn take_over(&self, claim: &Claim) -> ClaimAnswer {
+    fn take_over(&self, at: Millis, claim: &Claim) -> ClaimAnswer {
         if claim.outcome == Some(Outcome::Refused) {
             return ClaimAnswer::Granted(claim.generation);
         }
@@ -214,6 +217,7 @@
             agents: live,
             lost,
             settled,
+            age: at.since(claim.at),
         }
     }
 
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -69,6 +69,17 @@
     Restore(Snapshot),
 }
 
+/// A rule of the protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RaftGuard {
+    /// A majority must agree.
+    Quorum,
+    /// Only the disk that the log names counts.
+    DiskIdentity,
+    /// A follower that hears a leader helps no one else.
+    Loyalty,
+}
+
 /// What a leader knows of a peer.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Progress {
@@ -114,6 +125,8 @@
     pub(crate) vote_write: u64,
     pub(crate) synced_write: u64,
     pub(crate) rng: Pcg64Mcg,
+    // Rules turned off; empty outside of a checker.
+    pub(crate) off: Vec<RaftGuard>,
 }
 
 /// What a replica starts from, as read from its data folder.
@@ -179,6 +192,7 @@
             vote_write: 0,
             synced_write: 0,
             rng: Pcg64Mcg::seed_from_u64(seed.rotate_left(SEED_SHIFT) ^ durable.disk.0),
+            off: Vec::new(),
         };
         for record in durable.records {
             raft.replay(record);
@@ -424,11 +438,31 @@
         })
     }
 
+    /// Turns a rule off, so that a checker can show that it is needed.
+    pub fn disable(&mut self, guard: RaftGuard) {
+        self.off.push(guard);
+    }
+
+    pub(crate) fn on(&self, guard: RaftGuard) -> bool {
+        !self.off.contains(&guard)
+    }
+
+    /// True when a disk is the one that the log names for its replica.
+    pub(crate) fn is_named(&self, voter: Voter, disk: Option<DiskId>) -> bool {
+        disk == Some(voter.disk) || (disk.is_some() && !self.on(RaftGuard::DiskIdentity))
+    }
+
     /// True when `voters` hold a majority of the latest configuration.
     pub(crate) fn is_quorum(&self, given: &[Voter]) -> bool {
         let (voters, _) = self.log.voters();
-        let count = voters.iter().filter(|v| given.contains(v)).count();
-        count * 2 > voters.len()
+        let agrees = |v: &&Voter| {
+            let of_same = given.iter().filter(|g| g.id == v.id);
+            of_same
+                .into_iter()
+                .any(|g| self.is_named(**v, Some(g.disk)))
+        };
+        let count = voters.iter().filter(agrees).count();
+        count * 2 > voters.len() || (count > 0 && !self.on(RaftGuard::Quorum))
     }
 
     /// Waits a random while for a leader before standing.
--- a/src/control/replicate.rs
+++ b/src/control/replicate.rs
@@ -2,7 +2,7 @@
 
 use super::log::{Index, LogEntry, Position, ReplicaId, Snapshot, Voter};
 use super::message::Body;
-use super::raft::{Raft, RaftOutput};
+use super::raft::{Raft, RaftGuard, RaftOutput};
 use crate::core::clock::Millis;
 
 /// Most entries in one message.
@@ -236,7 +236,11 @@
         for voter in self.log.voters().0 {
             reached.push(self.durable_at(*voter));
         }
-        let agreed = quorum_value(reached);
+        let agreed = if self.on(RaftGuard::Quorum) {
+            quorum_value(reached)
+        } else {
+            self.synced
+        };
         if agreed > self.commit && self.log.term(agreed) == Some(self.term) {
             self.commit_to(agreed, out);
             // Followers learn of it with the next batch or heartbeat.
@@ -254,7 +258,7 @@
             return self.synced;
         }
         match self.progress.get(&voter.id) {
-            Some(p) if p.disk == Some(voter.disk) => p.matched,
+            Some(p) if self.is_named(voter, p.disk) => p.matched,
             _ => Index(0),
         }
     }
@@ -273,7 +277,7 @@
                 continue;
             }
             let echoed = match self.progress.get(&voter.id) {
-                Some(p) if p.disk == Some(voter.disk) => p.echoed,
+                Some(p) if self.is_named(*voter, p.disk) => p.echoed,
                 _ => None,
             };
             times.push(echoed.unwrap_or_default());
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -7,7 +7,7 @@
 use super::command::{Command, Reply, Stamped};
 use super::log::{Index, LogEntry, Payload, Position, ReplicaId, Snapshot, Term};
 use super::machine::Machine;
-use super::raft::{Raft, RaftInput, RaftOutput};
+use super::raft::{Raft, RaftGuard, RaftInput, RaftOutput};
 use super::renewals::Renewals;
 use crate::core::clock::Millis;
 use crate::core::ids::{Incarnation, Revision};
@@ -320,6 +320,11 @@
         &self.machine
     }
 
+    /// Turns a rule of the replicated log off, for a checker.
+    pub fn disable(&mut self, guard: RaftGuard) {
+        self.raft.disable(guard);
+    }
+
     /// The replicated log.
     #[must_use]
     pub fn raft(&self) -> &Raft {
--- a/src/core/dispatching.rs
+++ b/src/core/dispatching.rs
@@ -241,6 +241,7 @@
             task: pick.task,
             agent: pick.agent,
             cost,
+            stamp: server.stamp,
         };
         self.out.insert(number, sent);
         self.counts.dispatched += 1;
@@ -252,7 +253,6 @@
     /// The dispatch message for a task that is out.
     pub(crate) fn order(&self, number: Number, sent: Out) -> Option<Dispatch> {
         let job = self.jobs.get(&sent.handle)?;
-        let server = self.pools.get(&job.service)?.servers.get(&sent.agent)?;
         let payload = job.tasks.get(sent.task as usize).map(|t| t.payload.clone());
         Some(Dispatch {
             number,
@@ -261,7 +261,7 @@
             generation: job.generation,
             entry: self.incarnation,
             agent: sent.agent,
-            stamp: server.stamp,
+            stamp: sent.stamp,
             payload: payload.unwrap_or_default(),
         })
     }
@@ -452,6 +452,9 @@
         match verdict.fate {
             Fate::NotRun(_) => Ok(()),
             Fate::Queued | Fate::Running => {
+                let servers = self.pools.get(&job.service).map(|pool| &pool.servers);
+                let server = servers.and_then(|servers| servers.get(&agent));
+                let stamp = server.map_or(Millis(0), |server| server.stamp);
                 self.last = Number(self.last.0 + 1);
                 task.step = Step::Out(self.last);
                 job.started = true;
@@ -461,6 +464,7 @@
                     task: verdict.task,
                     agent,
                     cost: 0.0,
+                    stamp,
                 };
                 self.out.insert(self.last, sent);
                 let team = job.key.team.clone();
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -35,6 +35,8 @@
     pub grace: Millis,
     /// Answers are kept for so long.
     pub retain: Millis,
+    /// Agents keep results of unsettled jobs for longer than this.
+    pub memory: Millis,
     /// Tasks looked at in one placing round.
     pub lookahead: usize,
     /// Seed of the baseline policies' draws.
@@ -49,6 +51,7 @@
             max_wait: Millis(60_000),
             grace: Millis(5_000),
             retain: Millis(60_000),
+            memory: Millis(100_000),
             lookahead: 256,
             seed: 1,
         }
@@ -74,6 +77,8 @@
         lost: bool,
         /// The recorded outcome: whether it was complete.
         settled: Option<bool>,
+        /// Time since the first claim.
+        age: Millis,
     },
     /// Control could not be reached in time.
     Unknown,
@@ -201,6 +206,8 @@
     pub(crate) agent: Incarnation,
     // Work charged to the team for it, in milliseconds.
     pub(crate) cost: f64,
+    // The agent's clock when it was sent.
+    pub(crate) stamp: Millis,
 }
 
 /// A team's rights and what it uses.
@@ -548,6 +555,7 @@
                 agents,
                 lost,
                 settled,
+                age,
             } => {
                 job.state = self.chart.next(job.state, JobEvent::TakenOver)?;
                 job.generation = generation;
@@ -559,8 +567,9 @@
                     let answer = Answer::Failed(Failure::Unaccounted);
                     return self.settle(now, handle, answer, out);
                 }
-                // Of a complete job nothing may be started again.
-                job.concluded = settled.is_some();
+                // Nothing may be started of a complete job, nor of one so old that
+                // agents may have dropped what they ran of it.
+                job.concluded = settled.is_some() || age > self.limits.memory;
                 for agent in &agents {
                     let key = job.key.clone();
                     out.push(EntryOutput::Inventory(handle, *agent, key, generation));
--- a/src/core/gate.rs
+++ b/src/core/gate.rs
@@ -216,6 +216,8 @@
     Lease,
     /// Remember what was refused.
     Refusals,
+    /// Admit that the ledger does not reach back for ever.
+    Memory,
 }
 
 /// The ledger of all starts of one agent incarnation, and the rules of starting.
@@ -227,6 +229,8 @@
     dead: Vec<Incarnation>,
     jobs: Table<JobKey, Ledger>,
     chart: Chart<TaskState, TaskEvent>,
+    // Jobs untouched for longer than this may have been dropped.
+    memory: Millis,
     // Rules turned off; empty outside of a checker.
     off: Vec<Guard>,
 }
@@ -251,6 +255,7 @@
             dead: Vec::new(),
             jobs: Table::default(),
             chart: Chart::parse(TASK_CHART)?,
+            memory: Millis(u64::MAX),
             off: Vec::new(),
         })
     }
@@ -353,6 +358,9 @@
         if let Some(known) = self.known(dispatch) {
             return Ok(Admission::Known(known));
         }
+        if self.is_forgotten(now, dispatch) {
+            return Ok(Admission::Known(forgotten()));
+        }
         let objection = match self.objection(now, dispatch) {
             None if !credit => Some(NotRun::NoCredit),
             other => other,
@@ -366,6 +374,12 @@
         }
     }
 
+    /// True when a start under this dispatch may have been dropped from the ledger,
+    /// so that "not run" would be a guess.
+    fn is_forgotten(&self, now: Millis, dispatch: &Dispatch) -> bool {
+        self.on(Guard::Memory) && now.since(dispatch.stamp) > self.memory
+    }
+
     /// True when [`Gate::offer`] would answer from the ledger.
     #[must_use]
     pub fn is_known(&self, dispatch: &Dispatch) -> bool {
@@ -514,6 +528,9 @@
             return Ok(Fate::NotRun(NotRun::OtherAgent));
         }
         let Some(fate) = self.known(dispatch) else {
+            if self.is_forgotten(now, dispatch) {
+                return Ok(forgotten());
+            }
             let fate = Fate::NotRun(NotRun::Withdrawn);
             self.write(now, dispatch, TaskEvent::Refuse, fate.clone())?;
             return Ok(fate);
@@ -606,6 +623,7 @@
     /// pass the start window: `recorded` ones after `short`, others after `long`.
     pub fn prune(&mut self, now: Millis, short: Millis, long: Millis) {
         let window = self.lease.window;
+        self.memory = self.memory.min(short.min(long).max(window + window));
         self.jobs.retain(|_, ledger| {
             let age = now.since(ledger.touched);
             let keep = if ledger.recorded { short } else { long };
@@ -620,3 +638,11 @@
         self.jobs.len()
     }
 }
+
+/// The fate of a dispatch so old that its start may have been dropped.
+fn forgotten() -> Fate {
+    Fate::Failed {
+        reason: "no longer on record, it may have run".to_owned(),
+        run: Millis(0),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,9 @@
 };
 pub use crate::control::machine::{AuditRow, Machine, Process};
 pub use crate::control::message::{Body, Message};
-pub use crate::control::raft::{Durable, Raft, RaftInput, RaftOutput, RaftRole, RaftTiming};
+pub use crate::control::raft::{
+    Durable, Raft, RaftGuard, RaftInput, RaftOutput, RaftRole, RaftTiming,
+};
 pub use crate::control::renewals::{Renewal, Renewals};
 pub use crate::control::server::{
     Control, ControlAnswer, ControlError, ControlInput, ControlOutput, Token,
--- a/src/proto/fulmardrift.v1.rs
+++ b/src/proto/fulmardrift.v1.rs
@@ -376,6 +376,9 @@
     /// The recorded outcome, if there is one.
     #[prost(bool, optional, tag = "7")]
     pub complete: ::core::option::Option<bool>,
+    /// Time since the first claim.
+    #[prost(uint64, tag = "8")]
+    pub age_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RecordRequest {
--- a/src/shell/wire.rs
+++ b/src/shell/wire.rs
@@ -178,12 +178,14 @@
             agents,
             lost,
             settled,
+            age,
         } => {
             reply.set_state(proto::ClaimState::TakenOver);
             reply.generation = generation.0;
             reply.agents = agents.iter().map(|a| a.0).collect();
             reply.lost = lost;
             reply.complete = settled;
+            reply.age_ms = age.0;
         }
     }
     reply
@@ -201,6 +203,7 @@
             agents: reply.agents.iter().map(|a| Incarnation(*a)).collect(),
             lost: reply.lost,
             settled: reply.complete,
+            age: Millis(reply.age_ms),
         }),
         proto::ClaimState::DeadOwner | proto::ClaimState::Absent => None,
     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -18,7 +18,12 @@
 }
 
 fn others(group: &Group, id: u64) -> Vec<u64> {
-    group.instances.keys().copied().filter(|i| *i != id).collect()
+    group
+        .instances
+        .keys()
+        .copied()
+        .filter(|i| *i != id)
+        .collect()
 }
 
 fn entry() -> Command {
@@ -46,7 +51,12 @@
 #[test]
 fn one_instance_alone_is_a_group() {
     let mut group = Group::ready(1);
-    assert_eq!(group.change(&tasks(7)), Ok(Accepted { revision: Revision(1) }));
+    assert_eq!(
+        group.change(&tasks(7)),
+        Ok(Accepted {
+            revision: Revision(1)
+        })
+    );
     assert_eq!(in_force(&group, 1), 7);
 }
 
@@ -80,14 +90,22 @@
 #[test]
 fn a_leader_cut_off_gives_no_lease_and_accepts_nothing() {
     let mut group = Group::ready(3);
-    let Reply::Joined(entry) = group.apply(&entry()) else { panic!() };
+    let Reply::Joined(entry) = group.apply(&entry()) else {
+        panic!()
+    };
     let old = group.leader().unwrap();
     group.cut = vec![old];
     let token = group.propose(old, Command::Change(tasks(5)));
     group.until("a new leader", |g| g.leader().is_some_and(|l| l != old));
     // From here on another may have changed things; the old one must know.
-    assert!(matches!(group.renew(old, entry), Some(ControlAnswer::NotLeader(_))));
-    assert!(!matches!(group.answers.get(&token), Some(ControlAnswer::Reply(_))));
+    assert!(matches!(
+        group.renew(old, entry),
+        Some(ControlAnswer::NotLeader(_))
+    ));
+    assert!(!matches!(
+        group.answers.get(&token),
+        Some(ControlAnswer::Reply(_))
+    ));
     let change = set("other", "r1/dc1", "out", "true");
     assert!(group.change(&change).is_ok());
     // Cut off for long while changes go on elsewhere, then back.
@@ -99,7 +117,10 @@
     group.cut.clear();
     group.rounds(200);
     for id in 1..=3 {
-        assert!(group.machine(id).settings().is_out("r1/dc1"), "instance {id} reverted");
+        assert!(
+            group.machine(id).settings().is_out("r1/dc1"),
+            "instance {id} reverted"
+        );
         assert_eq!(in_force(&group, id), 39);
     }
 }
@@ -121,13 +142,18 @@
 #[test]
 fn a_frozen_leader_woken_gives_no_lease() {
     let mut group = Group::ready(3);
-    let Reply::Joined(entry) = group.apply(&entry()) else { panic!() };
+    let Reply::Joined(entry) = group.apply(&entry()) else {
+        panic!()
+    };
     let old = group.leader().unwrap();
     group.instances.get_mut(&old).unwrap().frozen = true;
     group.until("a new leader", |g| g.leader().is_some_and(|l| l != old));
     assert!(group.change(&tasks(5)).is_ok());
     group.instances.get_mut(&old).unwrap().frozen = false;
-    assert!(matches!(group.renew(old, entry), Some(ControlAnswer::NotLeader(_))));
+    assert!(matches!(
+        group.renew(old, entry),
+        Some(ControlAnswer::NotLeader(_))
+    ));
     group.rounds(50);
     assert_eq!(in_force(&group, old), 5);
 }
@@ -137,13 +163,18 @@
     let mut group = Group::ready(3);
     assert!(group.change(&tasks(5)).is_ok());
     let leader = group.leader().unwrap();
-    let [lost, other] = others(&group, leader)[..] else { panic!() };
+    let [lost, other] = others(&group, leader)[..] else {
+        panic!()
+    };
     // With the other cut off, the leader and the empty disk are no quorum.
     group.cut = vec![other];
     group.lose_disk(lost);
     let token = group.propose(leader, Command::Change(tasks(6)));
     group.rounds(300);
-    assert!(!matches!(group.answers.get(&token), Some(ControlAnswer::Reply(_))));
+    assert!(!matches!(
+        group.answers.get(&token),
+        Some(ControlAnswer::Reply(_))
+    ));
     assert!(group.leader().is_none());
     group.cut.clear();
     group.until("three voters with the new disk", |g| {
@@ -170,17 +201,26 @@
             let disk = g.instances[&lost].disk;
             g.leader().is_some_and(|l| {
                 let raft = g.control(l).raft();
-                raft.voters().iter().any(|v| v.disk == disk) && raft.committed() == raft.last().index
+                raft.voters().iter().any(|v| v.disk == disk)
+                    && raft.committed() == raft.last().index
             })
         });
         // At once another disk is lost: the leader's, or the third one's.
-        let next = if second == 0 { leader } else { others(&group, leader)[1] };
+        let next = if second == 0 {
+            leader
+        } else {
+            others(&group, leader)[1]
+        };
         group.lose_disk(next);
         group.until("a leader", |g| g.leader().is_some());
         assert!(group.change(&tasks(21)).is_ok());
         group.until("all have it", |g| (1..=3).all(|id| in_force(g, id) == 21));
         for id in 1..=3 {
-            assert_eq!(group.machine(id).revision(), Revision(21), "second={second}");
+            assert_eq!(
+                group.machine(id).revision(),
+                Revision(21),
+                "second={second}"
+            );
         }
     }
 }
@@ -192,7 +232,10 @@
     group.lose_disk(1);
     group.lose_disk(2);
     group.rounds(500);
-    assert!(group.leader().is_none(), "one survivor and two empty disks went on");
+    assert!(
+        group.leader().is_none(),
+        "one survivor and two empty disks went on"
+    );
 }
 
 #[test]
@@ -209,35 +252,57 @@
     let b = group.propose(leader, Command::Change(race("boris", "7")));
     group.rounds(20);
     let reply = |token| group.answers.get(token).cloned();
-    let won = Reply::Change(Ok(Accepted { revision: Revision(2) }));
-    let stale = Rejected::Stale { revision: Revision(2), operator: "ana".to_owned() };
+    let won = Reply::Change(Ok(Accepted {
+        revision: Revision(2),
+    }));
+    let stale = Rejected::Stale {
+        revision: Revision(2),
+        operator: "ana".to_owned(),
+    };
     assert_eq!(reply(&a), Some(ControlAnswer::Reply(won)));
-    assert_eq!(reply(&b), Some(ControlAnswer::Reply(Reply::Change(Err(stale)))));
+    assert_eq!(
+        reply(&b),
+        Some(ControlAnswer::Reply(Reply::Change(Err(stale))))
+    );
     let audit = group.machine(leader).audit();
     let last = audit.last().unwrap();
-    assert_eq!((last.operator.as_str(), last.refused.is_empty()), ("boris", false));
+    assert_eq!(
+        (last.operator.as_str(), last.refused.is_empty()),
+        ("boris", false)
+    );
     assert_eq!(in_force(&group, leader), 6);
 }
 
 #[test]
 fn a_resend_after_a_lost_answer_gets_the_first_one() {
     let mut group = Group::ready(3);
-    let request = ChangeRequest { expected: Some(Revision(0)), ..tasks(5) };
+    let request = ChangeRequest {
+        expected: Some(Revision(0)),
+        ..tasks(5)
+    };
     let first = group.change(&request);
     let leader = group.leader().unwrap();
     group.kill(leader);
     group.until("a new leader", |g| g.leader().is_some_and(|l| l != leader));
     assert!(group.change(&tasks(9)).is_ok());
     assert_eq!(group.change(&request), first);
-    assert_eq!(in_force(&group, group.leader().unwrap()), 9, "the resend reverted a change");
+    assert_eq!(
+        in_force(&group, group.leader().unwrap()),
+        9,
+        "the resend reverted a change"
+    );
 }
 
 #[test]
 fn a_change_is_all_or_nothing_and_says_what_is_wrong() {
     let mut group = Group::ready(1);
     let mut request = tasks(5);
-    request.changes.extend(set("x", "r1", "max_tasks", "0").changes);
-    let Err(Rejected::Invalid(error)) = group.change(&request) else { panic!() };
+    request
+        .changes
+        .extend(set("x", "r1", "max_tasks", "0").changes);
+    let Err(Rejected::Invalid(error)) = group.change(&request) else {
+        panic!()
+    };
     let text = error.to_string();
     for part in ["max_tasks", "r1", "\"0\"", "1 to 100000"] {
         assert!(text.contains(part), "{part} is not in {text}");
@@ -269,7 +334,10 @@
     let mut group = Group::ready(3);
     let old = group.leader().unwrap();
     let token = group.propose(old, Command::Change(tasks(5)));
-    group.input(old, fulmardrift::ControlInput::Raft(fulmardrift::RaftInput::Stop));
+    group.input(
+        old,
+        fulmardrift::ControlInput::Raft(fulmardrift::RaftInput::Stop),
+    );
     let before = group.now;
     group.until("a new leader", |g| g.leader().is_some_and(|l| l != old));
     // Without waiting for an election to come due.
@@ -288,7 +356,10 @@
     let claims = 21_000;
     for n in 0..claims {
         let record = Command::Record {
-            key: fulmardrift::JobKey { team: "t".to_owned(), id: n.to_string() },
+            key: fulmardrift::JobKey {
+                team: "t".to_owned(),
+                id: n.to_string(),
+            },
             generation: fulmardrift::Generation(1),
             owner: fulmardrift::Incarnation(1),
             outcome: Outcome::Complete,
@@ -299,7 +370,10 @@
         }
     }
     assert!(group.change(&tasks(5)).is_ok());
-    assert!(group.control(leader).raft().backlog() < 20_000, "no snapshot was taken");
+    assert!(
+        group.control(leader).raft().backlog() < 20_000,
+        "no snapshot was taken"
+    );
     group.cut.clear();
     group.until("caught up", |g| in_force(g, lagging) == 5);
     group.kill(lagging);
@@ -311,7 +385,9 @@
 #[test]
 fn a_process_that_stops_renewing_is_declared_dead_after_its_lease() {
     let mut group = Group::ready(3);
-    let Reply::Joined(entry) = group.apply(&entry()) else { panic!() };
+    let Reply::Joined(entry) = group.apply(&entry()) else {
+        panic!()
+    };
     let joined = group.now;
     let alive = |g: &Group| {
         let leader = g.leader()?;
@@ -324,10 +400,16 @@
     group.until("a new leader", |g| g.leader().is_some_and(|l| l != leader));
     let taken = group.now;
     group.until("dead", |g| alive(g) == Some(false));
-    assert!(group.now.since(taken) >= fulmardrift::Millis(3_000), "joined at {joined:?}");
+    assert!(
+        group.now.since(taken) >= fulmardrift::Millis(3_000),
+        "joined at {joined:?}"
+    );
     let leader = group.leader().unwrap();
     let answer = group.renew(leader, entry);
-    assert!(matches!(answer, Some(ControlAnswer::Fresh { alive: false, .. })), "{answer:?}");
+    assert!(
+        matches!(answer, Some(ControlAnswer::Fresh { alive: false, .. })),
+        "{answer:?}"
+    );
 }
 
 #[test]
@@ -352,8 +434,16 @@
         group.until("a new leader", |g| g.leader().is_some_and(|l| l != leader));
         let new = group.leader().unwrap();
         let is_out = group.machine(new).settings().is_out("r1/dc1");
-        assert!(is_out || !accepted, "accepted and lost after {rounds} deliveries");
+        assert!(
+            is_out || !accepted,
+            "accepted and lost after {rounds} deliveries"
+        );
         assert!(group.change(&out).is_ok());
-        assert!(group.machine(group.leader().unwrap()).settings().is_out("r1/dc1"));
+        assert!(
+            group
+                .machine(group.leader().unwrap())
+                .settings()
+                .is_out("r1/dc1")
+        );
     }
 }
--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -11,7 +11,11 @@
 pub const TICK: Millis = Millis(20);
 
 pub fn timing() -> RaftTiming {
-    RaftTiming { election: Millis(600), heartbeat: Millis(100), margin: Millis(60) }
+    RaftTiming {
+        election: Millis(600),
+        heartbeat: Millis(100),
+        margin: Millis(60),
+    }
 }
 
 /// One instance: running or not, with its disk.
@@ -76,10 +80,20 @@
     }
 
     pub fn start(&mut self, id: u64) {
-        let peers = self.instances.keys().filter(|p| **p != id).map(|p| ReplicaId(*p)).collect();
+        let peers = self
+            .instances
+            .keys()
+            .filter(|p| **p != id)
+            .map(|p| ReplicaId(*p))
+            .collect();
         let now = self.now;
-        let Some(instance) = self.instances.get_mut(&id) else { return };
-        let durable = Durable { disk: instance.disk, records: instance.records.clone() };
+        let Some(instance) = self.instances.get_mut(&id) else {
+            return;
+        };
+        let durable = Durable {
+            disk: instance.disk,
+            records: instance.records.clone(),
+        };
         instance.unsynced.clear();
         instance.syncs = true;
         let raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
@@ -112,7 +126,10 @@
     }
 
     fn running(&self) -> Vec<u64> {
-        let on = self.instances.iter().filter(|(_, i)| i.control.is_some() && !i.frozen);
+        let on = self
+            .instances
+            .iter()
+            .filter(|(_, i)| i.control.is_some() && !i.frozen);
         on.map(|(id, _)| *id).collect()
     }
 
@@ -126,13 +143,19 @@
     pub fn input(&mut self, id: u64, input: ControlInput) {
         let now = self.now;
         let instance = self.instances.get_mut(&id).unwrap();
-        let Some(control) = &mut instance.control else { return };
+        let Some(control) = &mut instance.control else {
+            return;
+        };
         let mut out = Vec::new();
         control.step(now, input, &mut out).unwrap();
         for output in out {
             match output {
                 ControlOutput::Raft(RaftOutput::Write(number, records)) => {
-                    self.instances.get_mut(&id).unwrap().unsynced.push((number, records));
+                    self.instances
+                        .get_mut(&id)
+                        .unwrap()
+                        .unsynced
+                        .push((number, records));
                 }
                 ControlOutput::Raft(RaftOutput::Send(message)) => self.net.push_back(message),
                 ControlOutput::Raft(other) => panic!("not for outside: {other:?}"),
@@ -152,7 +175,10 @@
         let mut last = 0;
         for (number, records) in std::mem::take(&mut instance.unsynced) {
             last = number;
-            if let Some(at) = records.iter().rposition(|r| matches!(r, Record::Snapshot(_))) {
+            if let Some(at) = records
+                .iter()
+                .rposition(|r| matches!(r, Record::Snapshot(_)))
+            {
                 instance.records = records[at..].to_vec();
             } else {
                 instance.records.extend(records);
@@ -211,7 +237,10 @@
     }
 
     pub fn propose(&mut self, id: u64, command: Command) -> Token {
-        let stamped = Stamped { at: self.now, command };
+        let stamped = Stamped {
+            at: self.now,
+            command,
+        };
         self.call(id, |token| ControlInput::Propose(token, stamped))
     }
 
@@ -244,7 +273,11 @@
 
     pub fn renew(&mut self, id: u64, incarnation: Incarnation) -> Option<ControlAnswer> {
         let revision = Revision(0);
-        let token = self.call(id, |token| ControlInput::Renew { token, incarnation, revision });
+        let token = self.call(id, |token| ControlInput::Renew {
+            token,
+            incarnation,
+            revision,
+        });
         self.answers.remove(&token)
     }
 }
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -53,6 +53,12 @@
     /// Entries that neither act nor hear.
     pub frozen: Vec<Incarnation>,
     pub handles: u64,
+    /// New lives of agents that were restarted.
+    pub reborn: BTreeMap<Incarnation, Incarnation>,
+    /// When the data centre was taken out.
+    pub out_at: Option<Millis>,
+    /// Starts after it was out and the lease term had passed.
+    pub late: u32,
 }
 
 pub fn key(id: &str) -> JobKey {
@@ -82,13 +88,13 @@
 fn limits() -> AgentLimits {
     AgentLimits {
         silence: Millis(1_000_000),
-        settled: Millis(1_000_000),
-        unsettled: Millis(1_000_000),
+        settled: Millis(5_000),
+        unsettled: Millis(5_000),
     }
 }
 
 impl World {
-    pub fn new(entries: usize, agents: usize, slots: u32, off: Option<Guard>) -> Self {
+    pub fn new(entries: usize, agents: usize, slots: u32, off: &[Guard]) -> Self {
         let mut world = Self {
             now: Millis(1),
             entries: BTreeMap::new(),
@@ -101,6 +107,9 @@
             answers: BTreeMap::new(),
             frozen: Vec::new(),
             handles: 0,
+            reborn: BTreeMap::new(),
+            out_at: None,
+            late: 0,
         };
         for i in 0..agents {
             world.add_agent(&format!("agent-{i}"), slots, off);
@@ -141,11 +150,11 @@
         }
     }
 
-    pub fn add_agent(&mut self, name: &str, slots: u32, off: Option<Guard>) -> Incarnation {
+    pub fn add_agent(&mut self, name: &str, slots: u32, off: &[Guard]) -> Incarnation {
         let incarnation = self.join(ProcessRole::Agent, name);
         let mut agent = Agent::new(incarnation, limits()).unwrap();
-        if let Some(guard) = off {
-            agent.disable(guard);
+        for guard in off {
+            agent.disable(*guard);
         }
         self.agents.insert(incarnation, agent);
         self.agent(incarnation, AgentInput::Announce(slots));
@@ -278,6 +287,7 @@
     fn from_agent(&mut self, from: Incarnation, output: AgentOutput) {
         match output {
             AgentOutput::Start(dispatch) => {
+                self.late += u32::from(self.out_at.is_some_and(|at| self.now >= at + TERM));
                 *self
                     .starts
                     .entry((dispatch.job.clone(), dispatch.task))
@@ -303,8 +313,9 @@
         let wire = self.wires.remove(at);
         match wire {
             Wire::Dispatch(dispatch) => {
-                let agent = dispatch.agent;
-                self.agent(agent, AgentInput::Dispatch(dispatch));
+                // A restarted agent listens at the same address.
+                let agent = self.reborn.get(&dispatch.agent).unwrap_or(&dispatch.agent);
+                self.agent(*agent, AgentInput::Dispatch(dispatch));
             }
             Wire::Verdict(entry, verdict) => self.entry(entry, EntryInput::Verdict(verdict)),
             Wire::Ask(agent, dispatches) => self.agent(agent, AgentInput::Ask(dispatches)),
@@ -458,6 +469,40 @@
         self.apply(Command::Dead(entry));
     }
 
+    /// An entry leaves by itself: control hears it at once, no lease runs out.
+    pub fn leave(&mut self, entry: Incarnation) {
+        self.entries.remove(&entry);
+        self.apply(Command::Dead(entry));
+        let agents: Vec<Incarnation> = self.agents.keys().copied().collect();
+        for agent in agents {
+            self.wires.push(Wire::Buried(agent, entry));
+        }
+    }
+
+    /// The data centre is taken out; agents learn it with their next lease.
+    pub fn take_out(&mut self) {
+        let change = fulmardrift::Change {
+            path: "r1/dc1".to_owned(),
+            key: "out".to_owned(),
+            value: Some("true".to_owned()),
+        };
+        self.apply(Command::Change(fulmardrift::ChangeRequest {
+            operator: "ana".to_owned(),
+            request: "out".to_owned(),
+            expected: None,
+            changes: vec![change],
+        }));
+        self.out_at = Some(self.now);
+    }
+
+    /// An agent dies and comes back under a new incarnation.
+    pub fn restart_agent(&mut self, agent: Incarnation, off: &[Guard]) {
+        let slots = self.agents[&agent].slots();
+        self.kill_agent(agent);
+        let fresh = self.add_agent("again", slots, off);
+        self.reborn.insert(agent, fresh);
+    }
+
     /// An agent's process is gone, and control says so.
     pub fn kill_agent(&mut self, agent: Incarnation) {
         self.agents.remove(&agent);
@@ -470,6 +515,14 @@
         }
     }
 
+    /// An entry hears every agent's clock.
+    pub fn hear(&mut self, entry: Incarnation) {
+        let agents: Vec<Incarnation> = self.agents.keys().copied().collect();
+        for agent in agents {
+            self.entry(entry, EntryInput::Credits(agent, 0, self.now));
+        }
+    }
+
     /// A little time passes at the entries.
     pub fn tick(&mut self) {
         self.now = self.now + Millis(20);
@@ -527,11 +580,13 @@
             agents,
             lost,
             settled,
+            age,
         } => Some(Claimed::TakenOver {
             generation,
             agents,
             lost,
             settled,
+            age,
         }),
         ClaimAnswer::DeadOwner => None,
     }
--- a/tests/starts.rs
+++ b/tests/starts.rs
@@ -23,7 +23,7 @@
 
 #[test]
 fn a_job_is_answered_whole_and_in_task_order() {
-    let mut world = World::new(1, 3, 2, None);
+    let mut world = World::new(1, 3, 2, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let handle = world.submit(entry, submission(&key("a"), true, 20));
     world.settle();
@@ -41,7 +41,7 @@
 
 #[test]
 fn nothing_starts_before_the_claim_is_there() {
-    let mut world = World::new(1, 1, 2, None);
+    let mut world = World::new(1, 1, 2, &[]);
     let entry = *world.entries.keys().next().unwrap();
     world.submit(entry, submission(&key("a"), true, 2));
     assert_eq!(world.wires.len(), 1, "only the claim: {:?}", world.wires);
@@ -52,7 +52,7 @@
 fn resubmission_attaches_before_during_and_after_the_run() {
     for steps in 0..8 {
         for other in [false, true] {
-            let mut world = World::new(2, 2, 1, None);
+            let mut world = World::new(2, 2, 1, &[]);
             let (first, second) = entries(&world);
             let again = if other { second } else { first };
             let a = world.submit(first, submission(&key("a"), true, 3));
@@ -78,7 +78,7 @@
 
 #[test]
 fn same_key_with_another_payload_is_refused_at_both_entries() {
-    let mut world = World::new(2, 1, 1, None);
+    let mut world = World::new(2, 1, 1, &[]);
     let (first, second) = entries(&world);
     world.submit(first, submission(&key("a"), true, 1));
     world.settle();
@@ -95,7 +95,7 @@
 
 /// The owner is lost after `steps` deliveries; the other entry takes over.
 fn owner_lost(steps: usize, frozen: bool) {
-    let mut world = World::new(2, 2, 1, None);
+    let mut world = World::new(2, 2, 1, &[]);
     let (owner, heir) = entries(&world);
     let before = world.submit(owner, submission(&key("a"), true, 3));
     for step in 0..steps {
@@ -158,7 +158,7 @@
 
 #[test]
 fn an_agent_lost_with_a_running_task_fails_the_job_and_restarts_nothing() {
-    let mut world = World::new(1, 2, 2, None);
+    let mut world = World::new(1, 2, 2, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let handle = world.submit(entry, submission(&key("a"), true, 4));
     while !world.wires.is_empty() {
@@ -178,7 +178,7 @@
 
 #[test]
 fn an_agent_lost_together_with_the_owner_fails_the_job_clearly() {
-    let mut world = World::new(2, 2, 2, None);
+    let mut world = World::new(2, 2, 2, &[]);
     let (owner, heir) = entries(&world);
     world.submit(owner, submission(&key("a"), true, 4));
     while !world.wires.is_empty() {
@@ -196,7 +196,7 @@
 
 #[test]
 fn a_second_agent_is_tried_only_on_the_word_not_run() {
-    let mut world = World::new(1, 2, 1, None);
+    let mut world = World::new(1, 2, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     world.submit(entry, submission(&key("a"), true, 1));
     world.deliver(0);
@@ -217,7 +217,7 @@
 
 #[test]
 fn a_dispatch_delivered_twice_or_late_starts_once() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     world.submit(entry, submission(&key("a"), true, 1));
     world.deliver(0);
@@ -236,7 +236,7 @@
 fn a_silent_link_is_replaced_and_its_dispatches_are_asked_about() {
     // The dispatch was lost with the old connection, or the verdict was.
     for lose_verdict in [false, true] {
-        let mut world = World::new(1, 1, 1, None);
+        let mut world = World::new(1, 1, 1, &[]);
         let entry = *world.entries.keys().next().unwrap();
         let handle = world.submit(entry, submission(&key("a"), true, 1));
         world.deliver(0);
@@ -255,7 +255,7 @@
 
 #[test]
 fn a_crossed_answer_is_dropped_and_counted() {
-    let mut world = World::new(1, 1, 2, None);
+    let mut world = World::new(1, 1, 2, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let a = world.submit(entry, submission(&key("a"), false, 1));
     let b = world.submit(entry, submission(&key("b"), false, 1));
@@ -279,7 +279,7 @@
 
 #[test]
 fn no_task_starts_without_a_fresh_lease() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let handle = world.submit(entry, submission(&key("a"), false, 1));
     // Cut off silently: the agent's lease runs out before the dispatch comes.
@@ -297,7 +297,7 @@
 
 #[test]
 fn no_task_starts_once_the_data_centre_is_out_and_queued_ones_move() {
-    let mut world = World::new(1, 2, 1, None);
+    let mut world = World::new(1, 2, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let handle = world.submit(entry, submission(&key("a"), false, 4));
     let out = agents(&world)[0];
@@ -333,7 +333,7 @@
 
 #[test]
 fn an_out_agent_that_hears_late_refuses_what_was_on_its_way() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     world.submit(entry, submission(&key("a"), false, 1));
     let change = Change {
@@ -359,7 +359,7 @@
 
 #[test]
 fn a_drained_backend_server_gets_no_new_work() {
-    let mut world = World::new(1, 2, 1, None);
+    let mut world = World::new(1, 2, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let leaving = agents(&world)[0];
     let handle = world.submit(entry, submission(&key("a"), false, 6));
@@ -376,7 +376,7 @@
 
 #[test]
 fn a_stopping_agent_finishes_what_it_has() {
-    let mut world = World::new(1, 2, 1, None);
+    let mut world = World::new(1, 2, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let handle = world.submit(entry, submission(&key("a"), false, 4));
     while !world.wires.is_empty() {
@@ -392,7 +392,7 @@
 
 #[test]
 fn a_stopping_entry_refuses_new_work_truly_and_answers_the_rest() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let before = world.submit(entry, submission(&key("a"), false, 3));
     world.entry(entry, EntryInput::Stop);
@@ -406,7 +406,7 @@
 
 #[test]
 fn a_job_that_fits_nowhere_is_refused_after_the_grace() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let mut job = submission(&key("a"), false, 1);
     job.service = "nowhere".to_owned();
@@ -423,7 +423,7 @@
 fn refused_is_said_only_when_nothing_can_have_run() {
     // The deadline passes before, while and after a dispatch is on its way.
     for steps in 0..3 {
-        let mut world = World::new(1, 1, 1, None);
+        let mut world = World::new(1, 1, 1, &[]);
         let entry = *world.entries.keys().next().unwrap();
         if steps == 0 {
             // No slot: the only one is taken by another job.
@@ -453,7 +453,7 @@
 
 #[test]
 fn a_wave_of_cancellations_starts_nothing_more() {
-    let mut world = World::new(1, 2, 2, None);
+    let mut world = World::new(1, 2, 2, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let jobs: Vec<_> = (0..2_000)
         .map(|i| {
@@ -492,7 +492,7 @@
 
 #[test]
 fn a_worker_that_fails_all_loses_few_jobs() {
-    let mut world = World::new(1, 5, 1, None);
+    let mut world = World::new(1, 5, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let broken = agents(&world)[0];
     let mut failed = 0;
@@ -524,7 +524,7 @@
 #[test]
 fn a_request_marked_not_repeatable_runs_once_and_others_are_retried() {
     for repeatable in [false, true] {
-        let mut world = World::new(1, 2, 1, None);
+        let mut world = World::new(1, 2, 1, &[]);
         let entry = *world.entries.keys().next().unwrap();
         let mut request = submission(&key("a"), false, 1);
         request.kind = Kind::Request { repeatable };
@@ -546,7 +546,7 @@
 
 #[test]
 fn retries_stop_when_the_budget_is_spent() {
-    let mut world = World::new(1, 2, 1, None);
+    let mut world = World::new(1, 2, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     for i in 0..200 {
         let mut request = submission(&key(&format!("r{i}")), false, 1);
@@ -570,7 +570,7 @@
 
 #[test]
 fn overload_is_refused_early_with_a_time_to_come_back() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let mut refused = 0;
     for i in 0..40 {
@@ -590,7 +590,7 @@
 
 #[test]
 fn teams_share_by_weight_and_stay_under_their_caps() {
-    let mut world = World::new(1, 1, 8, None);
+    let mut world = World::new(1, 1, 8, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let right = |team: &str, share, cap| fulmardrift::TeamRights {
         team: team.to_owned(),
@@ -646,7 +646,7 @@
 
 #[test]
 fn an_entry_that_was_declared_dead_claims_anew_under_its_new_incarnation() {
-    let mut world = World::new(1, 1, 1, None);
+    let mut world = World::new(1, 1, 1, &[]);
     let entry = *world.entries.keys().next().unwrap();
     let handle = world.submit(entry, submission(&key("a"), true, 2));
     world.deliver(0);
--- /dev/null
+++ b/tests/store.rs
@@ -0,0 +1,198 @@
+//! What is on disk is read back whole, or the replica says that it cannot.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use fulmardrift::{
+    DiskId, Folder, FrameError, Index, LogEntry, Medium, Payload, Position, Record, ReplicaId,
+    Snapshot, Term, Wal, WalError, decode_records, encode_record,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn entry(index: u64) -> LogEntry {
+    let position = Position {
+        term: Term(1),
+        index: Index(index),
+    };
+    LogEntry {
+        position,
+        payload: Payload::Command(Bytes::from(vec![7; 20])),
+    }
+}
+
+fn records() -> Vec<Record> {
+    vec![
+        Record::Disk(DiskId(9)),
+        Record::Vote(Term(1), Some(ReplicaId(2))),
+        Record::Entries(vec![entry(1), entry(2)]),
+        Record::Entries(vec![entry(3)]),
+    ]
+}
+
+fn bytes(records: &[Record]) -> Vec<u8> {
+    let mut buf = Vec::new();
+    for record in records {
+        encode_record(record, &mut buf).unwrap();
+    }
+    buf
+}
+
+#[test]
+fn a_tail_torn_at_any_byte_of_the_last_record_is_cut_off() {
+    let all = records();
+    let whole = bytes(&all);
+    let before = bytes(&all[..3]).len();
+    for cut in before..whole.len() {
+        let read = decode_records(&whole[..cut]).unwrap();
+        assert_eq!(read.records, all[..3], "cut at {cut}");
+        assert_eq!(read.whole, before);
+    }
+}
+
+#[test]
+fn a_flipped_bit_is_damage_and_never_another_state() {
+    let all = records();
+    let whole = bytes(&all);
+    for at in 0..whole.len() {
+        for bit in 0..8 {
+            let mut bad = whole.clone();
+            bad[at] ^= 1 << bit;
+            match decode_records(&bad) {
+                Err(FrameError::Damaged { .. } | FrameError::Decode { .. }) => {}
+                Err(other) => panic!("{other}"),
+                // Only a longer length of the last record looks like a torn tail,
+                // since nothing whole follows it.
+                Ok(read) => {
+                    assert_eq!(read.records, all[..3], "byte {at} bit {bit}");
+                    let last = bytes(&all[..3]).len();
+                    assert!((last..last + 4).contains(&at), "byte {at} bit {bit}");
+                }
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 512, rng_seed: RngSeed::Fixed(11), ..Config::default() })]
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode_records(&bytes);
+    }
+
+    #[test]
+    fn any_prefix_gives_a_prefix_of_the_records(cut in 0_usize..2_000, count in 1_u64..20) {
+        let mut all = vec![Record::Disk(DiskId(1))];
+        all.extend((1..=count).map(|i| Record::Entries(vec![entry(i)])));
+        let whole = bytes(&all);
+        let read = decode_records(&whole[..cut.min(whole.len())]).unwrap();
+        prop_assert!(all.starts_with(&read.records));
+    }
+}
+
+#[test]
+fn a_folder_gives_back_what_was_written() {
+    let folder = tempfile::tempdir().unwrap();
+    let open = || Wal::open(Folder::open(folder.path()).unwrap(), DiskId(5)).unwrap();
+    let (mut wal, first) = open();
+    assert_eq!(first.records, [Record::Disk(DiskId(5))]);
+    wal.write(&[Record::Entries(vec![entry(1)])]).unwrap();
+    wal.write(&[Record::Entries(vec![entry(2)])]).unwrap();
+    let (mut wal, second) = open();
+    assert_eq!(second.disk, DiskId(5), "the identity is the disk's own");
+    assert_eq!(second.records.len(), 3);
+    let position = Position {
+        term: Term(1),
+        index: Index(2),
+    };
+    let snapshot = Snapshot {
+        position,
+        voters: Vec::new(),
+        data: Bytes::from_static(b"s"),
+    };
+    let tail = Record::Entries(vec![entry(3)]);
+    wal.write(&[Record::Snapshot(snapshot.clone()), tail.clone()])
+        .unwrap();
+    let (_, third) = open();
+    assert_eq!(
+        third.records,
+        [Record::Disk(DiskId(5)), Record::Snapshot(snapshot), tail]
+    );
+}
+
+#[test]
+fn a_torn_tail_on_disk_is_cut_and_written_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let open = || Wal::open(Folder::open(folder.path()).unwrap(), DiskId(5)).unwrap();
+    let (mut wal, _) = open();
+    wal.write(&[Record::Entries(vec![entry(1)])]).unwrap();
+    let path = folder.path().join("log");
+    let mut content = std::fs::read(&path).unwrap();
+    content.extend([200, 0, 0, 0, 1, 2]);
+    std::fs::write(&path, content).unwrap();
+    let (mut wal, read) = open();
+    assert_eq!(read.records.len(), 2);
+    wal.write(&[Record::Entries(vec![entry(2)])]).unwrap();
+    assert_eq!(open().1.records.len(), 3);
+}
+
+/// A disk that fills up, or whose syncs fail, after some writes.
+#[derive(Clone)]
+struct Failing {
+    content: Arc<Mutex<Vec<u8>>>,
+    left: Arc<Mutex<u32>>,
+}
+
+impl Medium for Failing {
+    fn read(&mut self) -> io::Result<Vec<u8>> {
+        Ok(self.content.lock().unwrap().clone())
+    }
+
+    fn truncate(&mut self, len: usize) -> io::Result<()> {
+        self.content.lock().unwrap().truncate(len);
+        Ok(())
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut left = self.left.lock().unwrap();
+        if *left == 0 {
+            // Part of it got there.
+            self.content
+                .lock()
+                .unwrap()
+                .extend(&bytes[..bytes.len() / 2]);
+            *left = 1_000;
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        *left -= 1;
+        self.content.lock().unwrap().extend(bytes);
+        Ok(())
+    }
+
+    fn replace(&mut self, bytes: &[u8]) -> io::Result<()> {
+        *self.content.lock().unwrap() = bytes.to_vec();
+        Ok(())
+    }
+}
+
+#[test]
+fn after_a_failed_write_nothing_more_is_taken() {
+    let disk = Failing {
+        content: Arc::default(),
+        left: Arc::new(Mutex::new(1)),
+    };
+    let (mut wal, _) = Wal::open(disk.clone(), DiskId(1)).unwrap();
+    wal.write(&[Record::Entries(vec![entry(1)])]).unwrap();
+    let full = wal.write(&[Record::Entries(vec![entry(2)])]);
+    assert!(matches!(full, Err(WalError::Io { .. })));
+    // The disk would work again; what is on it is not known.
+    let next = wal.write(&[Record::Entries(vec![entry(3)])]);
+    assert!(matches!(next, Err(WalError::Broken)));
+    let (_, read) = Wal::open(disk, DiskId(2)).unwrap();
+    assert_eq!(
+        read.records,
+        [Record::Disk(DiskId(1)), Record::Entries(vec![entry(1)])]
+    );
+}
