--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -1,10 +1,12 @@
 //! A control group over a fake network and fake disks, in virtual time.
 
+#![allow(dead_code)]
+
 use std::collections::{BTreeMap, VecDeque};
 
 use fulmardrift::{
     Accepted, Change, ChangeRequest, Command, Control, ControlAnswer, ControlInput, ControlOutput,
-    DiskId, Durable, Incarnation, Machine, Message, Millis, Raft, RaftInput, RaftOutput,
+    DiskId, Durable, Incarnation, Machine, Message, Millis, Raft, RaftGuard, RaftInput, RaftOutput,
     RaftTiming, Record, Rejected, ReplicaId, Reply, Revision, Stamped, Token,
 };
 
@@ -19,6 +21,7 @@
 }
 
 /// One instance: running or not, with its disk.
+#[derive(Debug, Clone)]
 pub struct Instance {
     pub control: Option<Control>,
     pub disk: DiskId,
@@ -32,6 +35,7 @@
     pub frozen: bool,
 }
 
+#[derive(Debug, Clone)]
 pub struct Group {
     pub now: Millis,
     pub instances: BTreeMap<u64, Instance>,
@@ -39,18 +43,26 @@
     /// Instances that reach nobody and are reached by nobody.
     pub cut: Vec<u64>,
     pub answers: BTreeMap<Token, ControlAnswer>,
+    /// Rules that are turned off.
+    pub off: Vec<RaftGuard>,
     tokens: u64,
     disks: u64,
 }
 
 impl Group {
     pub fn new(size: u64) -> Self {
+        Self::without(size, &[])
+    }
+
+    /// A group in which some rules are turned off.
+    pub fn without(size: u64, off: &[RaftGuard]) -> Self {
         let mut group = Self {
             now: Millis(1),
             instances: BTreeMap::new(),
             net: VecDeque::new(),
             cut: Vec::new(),
             answers: BTreeMap::new(),
+            off: off.to_vec(),
             tokens: 0,
             disks: 100,
         };
@@ -97,7 +109,11 @@
         instance.unsynced.clear();
         instance.syncs = true;
         let raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
-        instance.control = Some(Control::new(raft).unwrap());
+        let mut control = Control::new(raft).unwrap();
+        for guard in &self.off {
+            control.disable(*guard);
+        }
+        instance.control = Some(control);
     }
 
     pub fn kill(&mut self, id: u64) {
