Replay of recorded traces, docs of events and settings, operators' pages; leases of changed length

Cause: nothing held recorded runs to stated outcomes, nor pages to code. A change of lease_ms from long to short let the leader declare a process dead while a longer lease given before was still in hand.

Renewals keep the length of the lease they gave, and a new leader assumes the longest one allowed once the length was ever changed.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -168,6 +168,7 @@
                 group: group.clone(),
                 callers: listener,
                 peers: listen().await?.0,
+                trace: None,
             };
             entries.push(EntryRole::start(setup).map_err(failed)?);
         }
--- a/src/cmd/roles.rs
+++ b/src/cmd/roles.rs
@@ -77,6 +77,7 @@
                 group,
                 callers: bind(entry.callers).await?,
                 peers: bind(entry.peers).await?,
+                trace: entry.trace.clone(),
             };
             roles.entry = Some(EntryRole::start(setup).map_err(failed)?);
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -102,6 +102,8 @@
     pub callers: SocketAddr,
     /// IP and port for other entries.
     pub peers: SocketAddr,
+    /// File to which every input of the decisions is written, for replay.
+    pub trace: Option<PathBuf>,
 }
 
 /// An agent's part.
--- a/src/control/machine.rs
+++ b/src/control/machine.rs
@@ -7,7 +7,7 @@
     Reply, Stamped,
 };
 use super::log::Index;
-use super::settings::{Tree, check_setting};
+use super::settings::{Tree, ValueKind, check_setting, key_spec};
 use crate::core::clock::Millis;
 use crate::core::ids::{Generation, Incarnation, JobKey, Revision};
 use crate::core::table::Table;
@@ -16,6 +16,8 @@
 const AUDIT_ROWS: usize = 20_000;
 /// Requests of operators remembered for their resends.
 const REQUESTS: usize = 4_096;
+/// The key that holds the length of leases.
+const LEASE: &str = "lease_ms";
 /// Segments the claim window is cut into.
 const SEGMENTS: u64 = 8;
 
@@ -78,6 +80,8 @@
     settings: Tree,
     revision: Revision,
     changed_by: String,
+    // True once the length of leases was ever changed.
+    lease_changed: bool,
     processes: Table<Incarnation, Process>,
     // Index of the directory's last change.
     directory: Index,
@@ -318,7 +322,7 @@
         }
         for Change { path, key, value } in &request.changes {
             // Taking an override away is checked as setting the default would be.
-            let spec = super::settings::key_spec(key);
+            let spec = key_spec(key);
             let value = value
                 .as_deref()
                 .or(spec.map(|s| s.default))
@@ -330,6 +334,7 @@
 
     fn write_change(&mut self, at: Millis, operator: &str, change: &Change, refused: &str) {
         let Change { path, key, value } = change;
+        self.lease_changed |= refused.is_empty() && key == LEASE;
         let before = if refused.is_empty() {
             self.settings.set(path, key, value.as_deref())
         } else {
@@ -362,6 +367,15 @@
         self.revision
     }
 
+    /// No lease in force can be longer than this.
+    #[must_use]
+    pub fn longest_lease(&self) -> Millis {
+        match key_spec(LEASE).map(|spec| spec.kind) {
+            Some(ValueKind::Number { max, .. }) if self.lease_changed => Millis(max),
+            _ => Millis(self.settings.number("", LEASE)),
+        }
+    }
+
     /// Who made the last accepted change.
     #[must_use]
     pub fn changed_by(&self) -> &str {
--- a/src/control/renewals.rs
+++ b/src/control/renewals.rs
@@ -12,6 +12,8 @@
 pub struct Renewal {
     /// When it reached the leader, by the leader's clock.
     pub at: Millis,
+    /// Length of the lease given then.
+    pub lease: Millis,
     /// The revision the process has in force.
     pub revision: Revision,
 }
@@ -23,14 +25,16 @@
 }
 
 impl Renewals {
-    /// Starts anew with a reign: everyone counts as renewed at `now`.
-    pub fn reset(&mut self, now: Millis, live: &[Incarnation]) {
+    /// Starts anew with a reign: everyone counts as renewed at `now`, for the
+    /// longest lease that an earlier leader may have given.
+    pub fn reset(&mut self, now: Millis, lease: Millis, live: &[Incarnation]) {
         self.last = Table::default();
         for incarnation in live {
             self.last.insert(
                 *incarnation,
                 Renewal {
                     at: now,
+                    lease,
                     revision: Revision(0),
                 },
             );
@@ -42,12 +46,25 @@
     /// ```
     /// use fulmardrift::{Incarnation, Millis, Renewals, Revision};
     /// let mut renewals = Renewals::default();
-    /// renewals.renew(Millis(10), Incarnation(1), Revision(0));
-    /// assert!(renewals.lapsed(Millis(20), Millis(50)).is_empty());
-    /// assert_eq!(renewals.lapsed(Millis(90), Millis(50)), [Incarnation(1)]);
+    /// renewals.renew(Millis(10), Millis(40), Incarnation(1), Revision(0));
+    /// assert!(renewals.lapsed(Millis(50), Millis(10)).is_empty());
+    /// assert_eq!(renewals.lapsed(Millis(61), Millis(10)), [Incarnation(1)]);
     /// ```
-    pub fn renew(&mut self, now: Millis, incarnation: Incarnation, revision: Revision) {
-        self.last.insert(incarnation, Renewal { at: now, revision });
+    pub fn renew(
+        &mut self,
+        now: Millis,
+        lease: Millis,
+        incarnation: Incarnation,
+        revision: Revision,
+    ) {
+        self.last.insert(
+            incarnation,
+            Renewal {
+                at: now,
+                lease,
+                revision,
+            },
+        );
     }
 
     /// A process is dead or gone.
@@ -55,21 +72,23 @@
         self.last.remove(&incarnation);
     }
 
-    /// Processes whose leases ended more than a margin ago, `after` being lease
-    /// and margin together.
+    /// Processes whose leases ended more than a margin ago.
     #[must_use]
-    pub fn lapsed(&self, now: Millis, after: Millis) -> Vec<Incarnation> {
-        let late = self.last.iter().filter(|(_, r)| now.since(r.at) > after);
+    pub fn lapsed(&self, now: Millis, margin: Millis) -> Vec<Incarnation> {
+        let late = self
+            .last
+            .iter()
+            .filter(|(_, r)| now > r.at + r.lease + margin);
         late.map(|(incarnation, _)| *incarnation).collect()
     }
 
     /// Processes that neither have `revision` in force nor lost their lease.
     #[must_use]
-    pub fn behind(&self, now: Millis, lease: Millis, revision: Revision) -> Vec<Incarnation> {
+    pub fn behind(&self, now: Millis, revision: Revision) -> Vec<Incarnation> {
         let behind = self
             .last
             .iter()
-            .filter(|(_, r)| r.revision < revision && now.since(r.at) <= lease);
+            .filter(|(_, r)| r.revision < revision && now <= r.at + r.lease);
         behind.map(|(incarnation, _)| *incarnation).collect()
     }
 }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -188,7 +188,8 @@
         let alive = process.is_some_and(|p| p.alive) && !self.dying.contains(&incarnation);
         let answer = self.fresh(now, alive);
         if alive && matches!(answer, ControlAnswer::Fresh { .. }) {
-            self.renewals.renew(now, incarnation, revision);
+            self.renewals
+                .renew(now, self.lease(), incarnation, revision);
         }
         out.push(ControlOutput::Answer(token, answer));
     }
@@ -217,11 +218,11 @@
         }
         if self.reset != self.raft.term() {
             self.reset = self.raft.term();
-            self.renewals.reset(now, &self.live());
+            let longest = self.machine.longest_lease();
+            self.renewals.reset(now, longest, &self.live());
             self.dying.clear();
         }
-        let after = self.lease() + DEAD_MARGIN;
-        for incarnation in self.renewals.lapsed(now, after) {
+        for incarnation in self.renewals.lapsed(now, DEAD_MARGIN) {
             self.renewals.remove(incarnation);
             self.dying.push(incarnation);
             let stamped = Stamped {
@@ -283,7 +284,8 @@
         };
         let reply = self.machine.apply(index, stamped);
         if let Reply::Joined(incarnation) = &reply {
-            self.renewals.renew(now, *incarnation, Revision(0));
+            self.renewals
+                .renew(now, self.lease(), *incarnation, Revision(0));
         }
         if let Some(incarnation) = buried {
             self.renewals.remove(incarnation);
@@ -334,7 +336,7 @@
     /// Processes that still act under an older revision.
     #[must_use]
     pub fn awaited(&self, now: Millis, revision: Revision) -> Vec<Incarnation> {
-        self.renewals.behind(now, self.lease(), revision)
+        self.renewals.behind(now, revision)
     }
 
     /// True when nothing awaits a commit.
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -149,6 +149,15 @@
     Tick,
 }
 
+/// One line of a recorded trace: an input, and when it came.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TraceLine {
+    /// By the entry's clock.
+    pub now: Millis,
+    /// The input.
+    pub input: EntryInput,
+}
+
 /// What an entry does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum EntryOutput {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,7 +44,7 @@
 pub use crate::core::clock::Millis;
 pub use crate::core::credit::{Credits, Grant};
 pub use crate::core::entry::{
-    Claimed, Entry, EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights,
+    Claimed, Entry, EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights, TraceLine,
 };
 pub use crate::core::estimate::Estimator;
 pub use crate::core::gate::{
--- a/src/shell/entry.rs
+++ b/src/shell/entry.rs
@@ -14,6 +14,7 @@
 use super::links::{Link, Up, to_agent};
 use super::member::{Membership, News};
 use super::stop::{self, Stop, Stopper};
+use super::trace::Trace;
 use super::{entry_peers, jobs_http, wire};
 use crate::control::command::{Joining, ProcessRole};
 use crate::control::settings::Tree;
@@ -145,6 +146,7 @@
     pub(crate) group: Vec<(u64, String)>,
     pub(crate) callers: TcpListener,
     pub(crate) peers: TcpListener,
+    pub(crate) trace: Option<std::path::PathBuf>,
 }
 
 /// A running entry.
@@ -199,6 +201,7 @@
             requests: Table::default(),
             agents: Table::default(),
             peers: Table::default(),
+            trace: Trace::open(setup.trace.as_deref()),
         };
         let (news, mut fresh) = mpsc::channel(64);
         let membership = Membership {
@@ -276,6 +279,7 @@
     requests: Table<Handle, mpsc::Sender<Attempt>>,
     agents: Table<Incarnation, Known>,
     peers: Table<Incarnation, String>,
+    trace: Trace,
 }
 
 impl Actor {
@@ -484,7 +488,9 @@
 
     fn step(&mut self, input: EntryInput) {
         let mut out = Vec::new();
-        if let Err(error) = self.entry.step(self.clock.now(), input, &mut out) {
+        let now = self.clock.now();
+        self.trace.write(now, &input, self.entry.is_idle());
+        if let Err(error) = self.entry.step(now, input, &mut out) {
             events::UNDEFINED.log(format_args!("entry: {error}"));
         }
         for output in out {
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -19,4 +19,5 @@
 pub(crate) mod requests_http;
 pub(crate) mod stand_in;
 pub(crate) mod stop;
+pub(crate) mod trace;
 pub(crate) mod wire;
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,53 @@
+//! The pages and the code say the same.
+
+use fulmardrift::{EVENTS, KEYS, TEAM_KEYS};
+
+#[test]
+fn every_event_is_in_the_catalogue_and_no_other() {
+    let page = include_str!("../docs/events.md");
+    for event in EVENTS {
+        let row = format!("| {} | {:?} | {} |", event.code, event.level, event.name);
+        assert!(page.contains(&row), "missing: {row}");
+    }
+    let rows = page
+        .lines()
+        .filter(|l| l.starts_with("| ") && l.as_bytes()[2].is_ascii_digit());
+    assert_eq!(rows.count(), EVENTS.len());
+    let mut codes: Vec<u16> = EVENTS.iter().map(|e| e.code).collect();
+    codes.dedup();
+    assert_eq!(codes.len(), EVENTS.len(), "a code is used twice");
+}
+
+#[test]
+fn every_setting_is_on_its_page_with_range_and_default() {
+    let page = include_str!("../docs/settings.md");
+    let fixed = KEYS.iter().map(|spec| (spec.name.to_owned(), spec));
+    let teams = TEAM_KEYS
+        .iter()
+        .map(|spec| (format!("teams.NAME.{}", spec.name), spec));
+    for (name, spec) in fixed.chain(teams) {
+        let row = page.lines().find(|l| l.starts_with(&format!("| {name} |")));
+        let row = row.unwrap_or_else(|| panic!("missing: {name}"));
+        assert!(row.contains(&spec.kind.accepted()), "{row}");
+        assert!(
+            row.contains(spec.default) && row.contains(spec.help),
+            "{row}"
+        );
+        assert!(
+            spec.default.is_empty()
+                || fulmardrift::check_setting("", &sample(&name), spec.default).is_ok()
+        );
+    }
+}
+
+fn sample(name: &str) -> String {
+    name.replace("NAME", "desk")
+}
+
+#[test]
+fn every_example_file_is_fine() {
+    for file in std::fs::read_dir("examples/local").unwrap() {
+        let path = file.unwrap().path();
+        fulmardrift::Config::read(&path).unwrap();
+    }
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -229,11 +229,11 @@
         let mut out = Vec::new();
         entry.step(self.now, input, &mut out).unwrap();
         for output in out {
-            self.from_entry(incarnation, output);
+            self.entry_says(incarnation, output);
         }
     }
 
-    fn from_entry(&mut self, from: Incarnation, output: EntryOutput) {
+    fn entry_says(&mut self, from: Incarnation, output: EntryOutput) {
         match output {
             EntryOutput::Claim(handle, key, digest) => {
                 self.wires.push(Wire::Claim(from, handle, key, digest));
@@ -280,11 +280,11 @@
         // What a chart refuses is ignored, as the process does.
         let _ = agent.step(self.now, input, &mut out);
         for output in out {
-            self.from_agent(incarnation, output);
+            self.agent_says(incarnation, output);
         }
     }
 
-    fn from_agent(&mut self, from: Incarnation, output: AgentOutput) {
+    fn agent_says(&mut self, from: Incarnation, output: AgentOutput) {
         match output {
             AgentOutput::Start(dispatch) => {
                 self.late += u32::from(self.out_at.is_some_and(|at| self.now >= at + TERM));
@@ -391,7 +391,7 @@
                 AgentOutput::Inventory(tasks) => {
                     self.wires.push(Wire::Inventoried(entry, handle, to, tasks));
                 }
-                other => self.from_agent(to, other),
+                other => self.agent_says(to, other),
             }
         }
     }
--- a/tests/fakes/stage.rs
+++ b/tests/fakes/stage.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest that anything awaited may take on a slow machine.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 pub struct Stage {
     pub folder: tempfile::TempDir,
--- a/tests/model.rs
+++ b/tests/model.rs
@@ -89,7 +89,7 @@
             let ran = !world.starts.is_empty();
             match answer {
                 Answer::Refused(..) if ran => return Some("refused, and yet it ran".to_owned()),
-                Answer::Complete(results) if results.len() as u32 > world.total_starts() => {
+                Answer::Complete(results) if results.len() > world.total_starts() as usize => {
                     return Some("complete with a task that never ran".to_owned());
                 }
                 _ => {}
@@ -160,6 +160,39 @@
         }
     }
 
+    fn delays(
+        &self,
+        entries: &[Incarnation],
+        push: &mut impl FnMut(World, Budget, bool, Option<Incarnation>, &'static str),
+    ) {
+        let (b, again, down) = (self.budget, self.again, self.down);
+        // Long enough for every start window, lease and retained result; the
+        // first agent is cut off from control and does not renew.
+        let mut world = (*self.world).clone();
+        world.now = world.now + fakes::TERM + fakes::TERM;
+        let agents: Vec<Incarnation> = world.agents.keys().copied().collect();
+        for (i, agent) in agents.into_iter().enumerate() {
+            if b.out == 0 || i > 0 {
+                world.lease_agent(agent);
+                world.agent(agent, fulmardrift::AgentInput::Tick);
+            }
+        }
+        for entry in entries.iter().copied() {
+            world.lease_entry(entry);
+            world.hear(entry);
+        }
+        push(
+            world,
+            Budget {
+                delay: b.delay - 1,
+                ..b
+            },
+            again,
+            down,
+            "delay",
+        );
+    }
+
     fn faults(
         &self,
         push: &mut impl FnMut(World, Budget, bool, Option<Incarnation>, &'static str),
@@ -175,31 +208,7 @@
             self.relinks(entries[0], push);
         }
         if b.delay > 0 {
-            // Long enough for every start window, lease and retained result; the
-            // first agent is cut off from control and does not renew.
-            let mut world = (*self.world).clone();
-            world.now = world.now + fakes::TERM + fakes::TERM;
-            let agents: Vec<Incarnation> = world.agents.keys().copied().collect();
-            for (i, agent) in agents.into_iter().enumerate() {
-                if b.out == 0 || i > 0 {
-                    world.lease_agent(agent);
-                    world.agent(agent, fulmardrift::AgentInput::Tick);
-                }
-            }
-            for entry in entries.clone() {
-                world.lease_entry(entry);
-                world.hear(entry);
-            }
-            push(
-                world,
-                Budget {
-                    delay: b.delay - 1,
-                    ..b
-                },
-                again,
-                down,
-                "delay",
-            );
+            self.delays(&entries, push);
         }
         if b.out > 0 && self.world.out_at.is_none() {
             let mut world = (*self.world).clone();
--- a/tests/model_log.rs
+++ b/tests/model_log.rs
@@ -31,7 +31,7 @@
     group: Rc<Group>,
     trace: Vec<Action>,
     disks: u32,
-    changes: u32,
+    changes: u64,
     proposed: Vec<Token>,
     /// Revisions that operators were told are accepted.
     accepted: BTreeSet<u64>,
@@ -108,7 +108,7 @@
         for id in 1..=3 {
             if group.instances[&id].control.is_some() {
                 let name = format!("change-{}-{id}", self.changes);
-                let value = (self.changes * 10 + id as u32).to_string();
+                let value = (self.changes * 10 + id).to_string();
                 let change = set(&name, "r1", "max_tasks", &value);
                 self.proposed
                     .push(group.propose(id, Command::Change(change)));
@@ -172,7 +172,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Bounds {
     depth: usize,
-    changes: u32,
+    changes: u64,
     disks: u32,
 }
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -239,7 +239,7 @@
         "0",
     ];
     assert_eq!(stage.tool(&bad).status.code(), Some(3));
-    let stale = [
+    let too_late = [
         "settings",
         "set",
         "--path",
@@ -251,7 +251,7 @@
         "--expect",
         "1",
     ];
-    assert_eq!(stage.tool(&stale).status.code(), Some(3));
+    assert_eq!(stage.tool(&too_late).status.code(), Some(3));
     assert_eq!(stage.tool(&["settings", "fly"]).status.code(), Some(2));
     let audit = stage.tool(&["audit", "--by", "ana", "--json"]);
     let rows: serde_json::Value = serde_json::from_slice(&audit.stdout).unwrap();
