--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -108,11 +108,7 @@
         "refused: {name}"
     );
     assert_eq!(relayed, stated.relayed, "relayed: {name}");
-    assert_eq!(
-        stated.started.unwrap_or(ended),
-        ended,
-        "started: {name}"
-    );
+    assert_eq!(stated.started.unwrap_or(ended), ended, "started: {name}");
     assert!(
         seen.started.values().all(|n| *n == 1),
         "started twice: {name}"
