One job a module: entry's messages, ownership, outputs and the gate's words apart

Change: core/entry_io.rs (what goes in and out), core/own.rs (claims and take-over), core/start.rs (orders and verdicts), shell/entry_out.rs (carrying decisions out), tests/limits.rs (queues, retries, shares). No logic changed, no test changed but for its place. A test now holds docs/promises.md to the tests it names and to having no empty cell.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -11,7 +11,7 @@
 use super::admin_client::AdminClient;
 use super::{CmdError, CmdResult, ConfigSnafu, block_on, failed, helped, start_metrics};
 use crate::config;
-use crate::core::entry::EntryCounts;
+use crate::core::entry_io::EntryCounts;
 use crate::events;
 use crate::load::client::Caller;
 use crate::load::drive::Drive;
--- a/src/core/agent.rs
+++ b/src/core/agent.rs
@@ -7,8 +7,9 @@
 use super::chart::{Chart, ChartError};
 use super::clock::Millis;
 use super::credit::{Credits, Grant};
-use super::gate::{Admission, Dispatch, Fate, Gate, Guard, Lease, NotRun, Verdict};
+use super::gate::{Gate, Guard};
 use super::ids::{Generation, Incarnation, JobKey};
+use super::start::{Admission, Dispatch, Fate, Lease, NotRun, Verdict};
 
 const SERVER_CHART: &str = include_str!("../../charts/backend-server.toml");
 
--- a/src/core/dispatching.rs
+++ b/src/core/dispatching.rs
@@ -2,12 +2,13 @@
 
 use super::chart::ChartError;
 use super::clock::Millis;
-use super::entry::{Entry, EntryOutput, Out};
-use super::gate::{Dispatch, Fate, NotRun, Verdict};
+use super::entry::{Entry, Out};
+use super::entry_io::EntryOutput;
 use super::ids::{Incarnation, Number};
 use super::job::{Answer, Failure, Handle, JobState, Kind, Step};
 use super::place::{Place, Policy, Pool};
 use super::queue::Queue;
+use super::start::{Dispatch, Fate, NotRun, Verdict};
 
 /// Slots that other entries hold are looked for this often.
 const SEEK_PAUSE: Millis = Millis(10);
--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -1,19 +1,18 @@
 //! The entry: owns jobs from claim to answer.
 
-use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
 
 use super::chart::{Chart, ChartError};
 use super::clock::Millis;
-use super::gate::{Dispatch, Verdict};
-use super::ids::{Generation, Incarnation, JobKey, Number};
+use super::entry_io::{EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights};
+use super::ids::{Incarnation, JobKey, Number};
 use super::job::{
     Answer, Failure, Handle, Job, JobEvent, JobState, Kind, Refusal, Step, Submission,
 };
-use super::place::{Policy, Pool, Server};
+use super::place::{Pool, Server};
 use super::queue::{Allowance, Queue};
+use super::start::Dispatch;
 use super::table::Table;
 
 const JOB_CHART: &str = include_str!("../../charts/job.toml");
@@ -22,191 +21,6 @@
 /// Most retries saved up.
 const RETRY_BURST: f64 = 10.0;
 
-/// Bounds and weights an entry works with.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct EntryLimits {
-    /// How places are chosen.
-    pub policy: Policy,
-    /// Rank of a job: arrival plus so many times its time alone on all slots.
-    pub stretch: f64,
-    /// A submission that would wait longer is refused.
-    pub max_wait: Millis,
-    /// A submission that no known backend server can run is refused after this.
-    pub grace: Millis,
-    /// Answers are kept for so long.
-    pub retain: Millis,
-    /// Agents keep results of unsettled jobs for longer than this.
-    pub memory: Millis,
-    /// Tasks looked at in one placing round.
-    pub lookahead: usize,
-    /// Seed of the baseline policies' draws.
-    pub seed: u64,
-}
-
-impl Default for EntryLimits {
-    fn default() -> Self {
-        Self {
-            policy: Policy::LeastFinish,
-            stretch: 1.0,
-            max_wait: Millis(60_000),
-            grace: Millis(5_000),
-            retain: Millis(60_000),
-            memory: Millis(100_000),
-            lookahead: 256,
-            seed: 1,
-        }
-    }
-}
-
-/// What control said of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Claimed {
-    /// The job is this entry's and new.
-    Granted(Generation),
-    /// Another live entry owns it.
-    Attached,
-    /// The key was used with another payload.
-    Conflict,
-    /// The claim moved here.
-    TakenOver {
-        /// The new generation.
-        generation: Generation,
-        /// Live agents that may hold tasks of it.
-        agents: Vec<Incarnation>,
-        /// True when an agent that may have run tasks of it is lost.
-        lost: bool,
-        /// The recorded outcome: whether it was complete.
-        settled: Option<bool>,
-        /// Time since the first claim.
-        age: Millis,
-    },
-    /// Control could not be reached in time.
-    Unknown,
-}
-
-/// A team's rights at this entry.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TeamRights {
-    /// The team.
-    pub team: String,
-    /// Weight in the fair share.
-    pub share: u32,
-    /// Most tasks running at a time through this entry.
-    pub cap: Option<u32>,
-}
-
-/// What reaches an entry.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum EntryInput {
-    /// A caller submits.
-    Submit(Submission),
-    /// A caller waits for a job already submitted.
-    Poll(Handle, JobKey),
-    /// A caller cancels.
-    Cancel(JobKey),
-    /// Control's word on a claim.
-    Claimed(Handle, Claimed),
-    /// The owner of an attached job answered.
-    Relayed(Handle, u16, Bytes),
-    /// The owner of an attached job cannot be reached, or disowns it.
-    Reclaim(Handle),
-    /// An agent listed what it knows of a job; `None`: the agent is lost.
-    Inventory(Handle, Incarnation, Option<Vec<Verdict>>),
-    /// The directory shows an agent.
-    AgentUp {
-        /// Its incarnation.
-        agent: Incarnation,
-        /// The service it runs.
-        service: String,
-        /// Where it is.
-        data_centre: String,
-        /// False while settings take it out.
-        open: bool,
-    },
-    /// Control declared an agent dead.
-    AgentDead(Incarnation),
-    /// The link to an agent is up.
-    Linked(Incarnation, u32, Millis),
-    /// The link to an agent is gone.
-    Unlinked(Incarnation),
-    /// The agent's clock, and credits from it.
-    Credits(Incarnation, u32, Millis),
-    /// The agent wants so many credits back.
-    Recall(Incarnation, u32),
-    /// The agent's word on a dispatch.
-    Verdict(Verdict),
-    /// A lease from control.
-    Lease(Millis),
-    /// Control declared this entry dead and gave it a new incarnation.
-    Rejoined(Incarnation),
-    /// The teams in the settings.
-    Teams(Vec<TeamRights>),
-    /// Bounds from the settings.
-    Limits(EntryLimits),
-    /// The entry stops: nothing new.
-    Stop,
-    /// Time has passed.
-    Tick,
-}
-
-/// One line of a recorded trace: an input, and when it came.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TraceLine {
-    /// By the entry's clock.
-    pub now: Millis,
-    /// The input.
-    pub input: EntryInput,
-}
-
-/// What an entry does.
-#[derive(Debug, Clone, PartialEq)]
-pub enum EntryOutput {
-    /// Claim the key in the control log.
-    Claim(Handle, JobKey, Vec<u8>),
-    /// Send a dispatch.
-    Dispatch(Handle, Kind, Dispatch),
-    /// Ask an agent what became of dispatches.
-    Ask(Incarnation, Vec<Dispatch>),
-    /// Tell an agent how many tasks wait.
-    Want(Incarnation, u32),
-    /// Return unused credits.
-    GiveBack(Incarnation, u32),
-    /// Withdraw a job at an agent.
-    Cancel(Incarnation, JobKey, Generation),
-    /// Ask an agent what it knows of a job, and fence older generations.
-    Inventory(Handle, Incarnation, JobKey, Generation),
-    /// Wait for the owner's answer.
-    Attach(Handle, JobKey),
-    /// Write the outcome to the control log and tell the agents it is there.
-    Record {
-        /// The job.
-        key: JobKey,
-        /// Its generation.
-        generation: Generation,
-        /// Complete, failed or refused.
-        outcome: JobState,
-        /// Agents that keep results of it.
-        agents: Vec<Incarnation>,
-    },
-    /// Answer a caller.
-    Answer(Handle, Answer),
-}
-
-/// Counts since the start of the process.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
-pub struct EntryCounts {
-    /// Dispatches sent.
-    pub dispatched: u64,
-    /// Dispatches that came back as not run.
-    pub returned: u64,
-    /// Verdicts that matched nothing.
-    pub strays: u64,
-    /// Requests retried.
-    pub retried: u64,
-    /// Messages about credits, in both directions.
-    pub credit_messages: u64,
-}
-
 /// A dispatch without its final verdict.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Out {
@@ -235,7 +49,7 @@
     pub(crate) limits: EntryLimits,
     pub(crate) lease: Millis,
     stopping: bool,
-    chart: Chart<JobState, JobEvent>,
+    pub(crate) chart: Chart<JobState, JobEvent>,
     pub(crate) jobs: Table<Handle, Job>,
     keys: Table<JobKey, Handle>,
     pub(crate) pools: Table<String, Pool>,
@@ -244,7 +58,7 @@
     pub(crate) out: Table<Number, Out>,
     pub(crate) last: Number,
     // Settled, but the lease has lapsed.
-    held: Vec<Handle>,
+    pub(crate) held: Vec<Handle>,
     retries: f64,
     rng: Pcg64Mcg,
     pub(crate) counts: EntryCounts,
@@ -528,201 +342,6 @@
         }
     }
 
-    fn claimed(
-        &mut self,
-        now: Millis,
-        handle: Handle,
-        claimed: Claimed,
-        out: &mut Vec<EntryOutput>,
-    ) -> Result<(), ChartError> {
-        let Some(job) = self.jobs.get_mut(&handle) else {
-            return Ok(());
-        };
-        if job.answer.is_some() {
-            return Ok(());
-        }
-        match claimed {
-            Claimed::Granted(generation) => {
-                job.state = self.chart.next(job.state, JobEvent::Granted)?;
-                job.generation = generation;
-                self.enqueue(handle);
-            }
-            Claimed::Attached => {
-                job.state = self.chart.next(job.state, JobEvent::Attached)?;
-                out.push(EntryOutput::Attach(handle, job.key.clone()));
-            }
-            Claimed::Conflict => {
-                let answer = Answer::Refused(Refusal::KeyConflict, None);
-                self.settle(now, handle, answer, out)?;
-            }
-            Claimed::Unknown => {
-                let answer = Answer::Refused(Refusal::NoClaim, None);
-                self.settle(now, handle, answer, out)?;
-            }
-            Claimed::TakenOver {
-                generation,
-                agents,
-                lost,
-                settled,
-                age,
-            } => {
-                job.state = self.chart.next(job.state, JobEvent::TakenOver)?;
-                job.generation = generation;
-                if settled == Some(false) {
-                    let answer = Answer::Failed(Failure::ResultsGone);
-                    return self.settle(now, handle, answer, out);
-                }
-                if lost && settled.is_none() {
-                    let answer = Answer::Failed(Failure::Unaccounted);
-                    return self.settle(now, handle, answer, out);
-                }
-                // Nothing may be started of a complete job, nor of one so old that
-                // agents may have dropped what they ran of it.
-                job.concluded = settled.is_some() || age > self.limits.memory;
-                for agent in &agents {
-                    let key = job.key.clone();
-                    out.push(EntryOutput::Inventory(handle, *agent, key, generation));
-                }
-                job.awaited = agents;
-                job.awaited.sort_unstable();
-                self.recovered(now, handle, out)?;
-            }
-        }
-        Ok(())
-    }
-
-    fn inventory(
-        &mut self,
-        now: Millis,
-        handle: Handle,
-        agent: Incarnation,
-        tasks: Option<Vec<Verdict>>,
-        out: &mut Vec<EntryOutput>,
-    ) -> Result<(), ChartError> {
-        let Some(job) = self.jobs.get_mut(&handle) else {
-            return Ok(());
-        };
-        let Ok(i) = job.awaited.binary_search(&agent) else {
-            return Ok(());
-        };
-        job.awaited.remove(i);
-        let Some(tasks) = tasks else {
-            return self.settle(now, handle, Answer::Failed(Failure::Unaccounted), out);
-        };
-        for verdict in tasks {
-            self.adopt(now, handle, agent, verdict, out)?;
-        }
-        self.recovered(now, handle, out)
-    }
-
-    /// All agents have spoken: the rest of the job goes on here.
-    fn recovered(
-        &mut self,
-        now: Millis,
-        handle: Handle,
-        out: &mut Vec<EntryOutput>,
-    ) -> Result<(), ChartError> {
-        let Some(job) = self.jobs.get_mut(&handle) else {
-            return Ok(());
-        };
-        if job.state != JobState::Recovering || !job.awaited.is_empty() {
-            return Ok(());
-        }
-        if job.is_whole() {
-            let answer = Answer::Complete(job.results());
-            return self.settle(now, handle, answer, out);
-        }
-        if job.concluded {
-            return self.settle(now, handle, Answer::Failed(Failure::ResultsGone), out);
-        }
-        job.state = self.chart.next(job.state, JobEvent::Granted)?;
-        self.enqueue(handle);
-        Ok(())
-    }
-
-    fn relayed(
-        &mut self,
-        now: Millis,
-        handle: Handle,
-        status: u16,
-        body: Bytes,
-        out: &mut Vec<EntryOutput>,
-    ) -> Result<(), ChartError> {
-        match self.jobs.get(&handle) {
-            Some(job) if job.state == JobState::Attached => {
-                self.settle(now, handle, Answer::Relayed { status, body }, out)
-            }
-            _ => Ok(()),
-        }
-    }
-
-    fn reclaim(&mut self, handle: Handle, out: &mut Vec<EntryOutput>) -> Result<(), ChartError> {
-        let Some(job) = self.jobs.get_mut(&handle) else {
-            return Ok(());
-        };
-        let Some(digest) = job.digest.clone() else {
-            return Ok(());
-        };
-        if job.answer.is_some() {
-            return Ok(());
-        }
-        job.state = self.chart.next(job.state, JobEvent::Reclaim)?;
-        out.push(EntryOutput::Claim(handle, job.key.clone(), digest));
-        Ok(())
-    }
-
-    /// Under a new incarnation everything out is the former one's: keyed jobs are
-    /// claimed anew, and what no one else can name is lost.
-    fn rejoined(
-        &mut self,
-        now: Millis,
-        incarnation: Incarnation,
-        out: &mut Vec<EntryOutput>,
-    ) -> Result<(), ChartError> {
-        self.incarnation = incarnation;
-        self.lease = Millis(0);
-        self.out = Table::default();
-        self.queues = Table::default();
-        for (_, pool) in self.pools.iter_mut() {
-            for (_, server) in pool.servers.iter_mut() {
-                server.reset();
-            }
-        }
-        for (_, team) in self.teams.iter_mut() {
-            team.running = 0;
-        }
-        for handle in std::mem::take(&mut self.held) {
-            if let Some(job) = self.jobs.get_mut(&handle) {
-                job.answer = None;
-                job.state = JobState::Running;
-            }
-        }
-        let open = self.jobs.iter().filter(|(_, job)| job.answer.is_none());
-        let open: Vec<Handle> = open.map(|(handle, _)| *handle).collect();
-        for handle in open {
-            let Some(job) = self.jobs.get_mut(&handle) else {
-                continue;
-            };
-            if !job.is_keyed() {
-                let answer = give_up(job, Refusal::Stopping, Failure::OwnerLost);
-                self.settle(now, handle, answer, out)?;
-                continue;
-            }
-            for task in &mut job.tasks {
-                task.step = Step::Waiting;
-            }
-            job.done = 0;
-            job.waiting.clear();
-            job.agents = Table::default();
-            job.awaited.clear();
-            match job.state {
-                JobState::Claiming => {}
-                _ => self.reclaim(handle, out)?,
-            }
-        }
-        Ok(())
-    }
-
     fn agent_up(
         &mut self,
         agent: Incarnation,
@@ -965,7 +584,7 @@
 }
 
 /// The answer to a job that is given up: refused only when nothing can have run.
-fn give_up(job: &Job, refusal: Refusal, failure: Failure) -> Answer {
+pub(crate) fn give_up(job: &Job, refusal: Refusal, failure: Failure) -> Answer {
     let unsure = matches!(job.state, JobState::Attached | JobState::Recovering);
     if job.started || unsure || job.agents.iter().any(|(_, count)| *count > 0) {
         Answer::Failed(failure)
--- /dev/null
+++ b/src/core/own.rs
@@ -0,0 +1,213 @@
+//! Who owns a job: claims, take-over of a dead entry's jobs, a new incarnation.
+
+use bytes::Bytes;
+
+use super::chart::ChartError;
+use super::clock::Millis;
+use super::entry::{Entry, give_up};
+use super::entry_io::{Claimed, EntryOutput};
+use super::ids::Incarnation;
+use super::job::{Answer, Failure, Handle, JobEvent, JobState, Refusal, Step};
+use super::start::Verdict;
+use super::table::Table;
+
+impl Entry {
+    pub(crate) fn claimed(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        claimed: Claimed,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        if job.answer.is_some() {
+            return Ok(());
+        }
+        match claimed {
+            Claimed::Granted(generation) => {
+                job.state = self.chart.next(job.state, JobEvent::Granted)?;
+                job.generation = generation;
+                self.enqueue(handle);
+            }
+            Claimed::Attached => {
+                job.state = self.chart.next(job.state, JobEvent::Attached)?;
+                out.push(EntryOutput::Attach(handle, job.key.clone()));
+            }
+            Claimed::Conflict => {
+                let answer = Answer::Refused(Refusal::KeyConflict, None);
+                self.settle(now, handle, answer, out)?;
+            }
+            Claimed::Unknown => {
+                let answer = Answer::Refused(Refusal::NoClaim, None);
+                self.settle(now, handle, answer, out)?;
+            }
+            Claimed::TakenOver {
+                generation,
+                agents,
+                lost,
+                settled,
+                age,
+            } => {
+                job.state = self.chart.next(job.state, JobEvent::TakenOver)?;
+                job.generation = generation;
+                if settled == Some(false) {
+                    let answer = Answer::Failed(Failure::ResultsGone);
+                    return self.settle(now, handle, answer, out);
+                }
+                if lost && settled.is_none() {
+                    let answer = Answer::Failed(Failure::Unaccounted);
+                    return self.settle(now, handle, answer, out);
+                }
+                // Nothing may be started of a complete job, nor of one so old that
+                // agents may have dropped what they ran of it.
+                job.concluded = settled.is_some() || age > self.limits.memory;
+                for agent in &agents {
+                    let key = job.key.clone();
+                    out.push(EntryOutput::Inventory(handle, *agent, key, generation));
+                }
+                job.awaited = agents;
+                job.awaited.sort_unstable();
+                self.recovered(now, handle, out)?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn inventory(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        agent: Incarnation,
+        tasks: Option<Vec<Verdict>>,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        let Ok(i) = job.awaited.binary_search(&agent) else {
+            return Ok(());
+        };
+        job.awaited.remove(i);
+        let Some(tasks) = tasks else {
+            return self.settle(now, handle, Answer::Failed(Failure::Unaccounted), out);
+        };
+        for verdict in tasks {
+            self.adopt(now, handle, agent, verdict, out)?;
+        }
+        self.recovered(now, handle, out)
+    }
+
+    /// All agents have spoken: the rest of the job goes on here.
+    pub(crate) fn recovered(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        if job.state != JobState::Recovering || !job.awaited.is_empty() {
+            return Ok(());
+        }
+        if job.is_whole() {
+            let answer = Answer::Complete(job.results());
+            return self.settle(now, handle, answer, out);
+        }
+        if job.concluded {
+            return self.settle(now, handle, Answer::Failed(Failure::ResultsGone), out);
+        }
+        job.state = self.chart.next(job.state, JobEvent::Granted)?;
+        self.enqueue(handle);
+        Ok(())
+    }
+
+    pub(crate) fn relayed(
+        &mut self,
+        now: Millis,
+        handle: Handle,
+        status: u16,
+        body: Bytes,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        match self.jobs.get(&handle) {
+            Some(job) if job.state == JobState::Attached => {
+                self.settle(now, handle, Answer::Relayed { status, body }, out)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    pub(crate) fn reclaim(
+        &mut self,
+        handle: Handle,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        let Some(job) = self.jobs.get_mut(&handle) else {
+            return Ok(());
+        };
+        let Some(digest) = job.digest.clone() else {
+            return Ok(());
+        };
+        if job.answer.is_some() {
+            return Ok(());
+        }
+        job.state = self.chart.next(job.state, JobEvent::Reclaim)?;
+        out.push(EntryOutput::Claim(handle, job.key.clone(), digest));
+        Ok(())
+    }
+
+    /// Under a new incarnation everything out is the former one's: keyed jobs are
+    /// claimed anew, and what no one else can name is lost.
+    pub(crate) fn rejoined(
+        &mut self,
+        now: Millis,
+        incarnation: Incarnation,
+        out: &mut Vec<EntryOutput>,
+    ) -> Result<(), ChartError> {
+        self.incarnation = incarnation;
+        self.lease = Millis(0);
+        self.out = Table::default();
+        self.queues = Table::default();
+        for (_, pool) in self.pools.iter_mut() {
+            for (_, server) in pool.servers.iter_mut() {
+                server.reset();
+            }
+        }
+        for (_, team) in self.teams.iter_mut() {
+            team.running = 0;
+        }
+        for handle in std::mem::take(&mut self.held) {
+            if let Some(job) = self.jobs.get_mut(&handle) {
+                job.answer = None;
+                job.state = JobState::Running;
+            }
+        }
+        let open = self.jobs.iter().filter(|(_, job)| job.answer.is_none());
+        let open: Vec<Handle> = open.map(|(handle, _)| *handle).collect();
+        for handle in open {
+            let Some(job) = self.jobs.get_mut(&handle) else {
+                continue;
+            };
+            if !job.is_keyed() {
+                let answer = give_up(job, Refusal::Stopping, Failure::OwnerLost);
+                self.settle(now, handle, answer, out)?;
+                continue;
+            }
+            for task in &mut job.tasks {
+                task.step = Step::Waiting;
+            }
+            job.done = 0;
+            job.waiting.clear();
+            job.agents = Table::default();
+            job.awaited.clear();
+            match job.state {
+                JobState::Claiming => {}
+                _ => self.reclaim(handle, out)?,
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,18 +43,20 @@
 pub use crate::core::chart::{Chart, ChartError};
 pub use crate::core::clock::Millis;
 pub use crate::core::credit::{Credits, Grant};
-pub use crate::core::entry::{
-    Claimed, Entry, EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights, TraceLine,
+pub use crate::core::entry::Entry;
+pub use crate::core::entry_io::{
+    Claimed, EntryCounts, EntryInput, EntryLimits, EntryOutput, TeamRights, TraceLine,
 };
 pub use crate::core::estimate::Estimator;
-pub use crate::core::gate::{
-    Admission, Dispatch, Fate, Gate, Guard, Lease, NotRun, TaskEvent, TaskState, Verdict,
-};
+pub use crate::core::gate::{Gate, Guard};
 pub use crate::core::ids::{Generation, Incarnation, JobKey, Number, Revision};
 pub use crate::core::job::{
     Answer, Failure, Handle, JobEvent, JobState, Kind, Refusal, Submission, TaskSpec,
 };
 pub use crate::core::place::Policy;
+pub use crate::core::start::{
+    Admission, Dispatch, Fate, Lease, NotRun, TaskEvent, TaskState, Verdict,
+};
 pub use crate::core::table::Table;
 pub use crate::events::{EVENTS, Event};
 pub use crate::load::shape::{Fleet, JobPlan, Shape, TaskPlan};
--- a/src/shell/backend.rs
+++ b/src/shell/backend.rs
@@ -16,7 +16,7 @@
 
 use super::http::{BoxError, HEADER_JOB, HEADER_NOT_RUN, HEADER_TASK};
 use crate::core::clock::Millis;
-use crate::core::gate::{Dispatch, Fate, NotRun};
+use crate::core::start::{Dispatch, Fate, NotRun};
 
 /// Longest a task may run.
 const TASK_LIMIT: Duration = Duration::from_mins(2);
--- a/src/shell/jobs_http.rs
+++ b/src/shell/jobs_http.rs
@@ -23,7 +23,7 @@
 use super::stop::Stop;
 use crate::control::settings::is_name;
 use crate::core::clock::Millis;
-use crate::core::entry::EntryInput;
+use crate::core::entry_io::EntryInput;
 use crate::core::ids::{Incarnation, JobKey};
 use crate::core::job::{Answer, Failure, Handle, Kind, Refusal, Submission, TaskSpec};
 use crate::events;
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod control_client;
 pub(crate) mod control_rpc;
 pub(crate) mod entry;
+pub(crate) mod entry_out;
 pub(crate) mod entry_peers;
 pub(crate) mod http;
 pub(crate) mod jobs_http;
--- a/src/shell/relay.rs
+++ b/src/shell/relay.rs
@@ -16,7 +16,7 @@
 use super::backend::{Backend, since};
 use super::http::BoxError;
 use super::wire;
-use crate::core::gate::{Dispatch, Fate};
+use crate::core::start::{Dispatch, Fate};
 use crate::proto;
 
 /// Chunks on their way in one direction; the rest waits at its source.
--- a/src/shell/requests_http.rs
+++ b/src/shell/requests_http.rs
@@ -19,7 +19,7 @@
 use super::wire;
 use crate::control::settings::is_name;
 use crate::core::clock::Millis;
-use crate::core::entry::EntryInput;
+use crate::core::entry_io::EntryInput;
 use crate::core::ids::JobKey;
 use crate::core::job::{Answer, Handle, Kind, Submission, TaskSpec};
 use crate::proto;
--- a/src/shell/trace.rs
+++ b/src/shell/trace.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use crate::core::clock::Millis;
-use crate::core::entry::{EntryInput, TraceLine};
+use crate::core::entry_io::{EntryInput, TraceLine};
 use crate::events;
 
 /// A trace file, or none.
--- a/src/shell/wire.rs
+++ b/src/shell/wire.rs
@@ -2,10 +2,10 @@
 
 use crate::control::command::{ClaimAnswer, Joining, Outcome, ProcessRole};
 use crate::core::clock::Millis;
-use crate::core::entry::Claimed;
-use crate::core::gate::{Dispatch, Fate, NotRun, Verdict};
+use crate::core::entry_io::Claimed;
 use crate::core::ids::{Generation, Incarnation, JobKey, Number};
 use crate::core::job::JobState;
+use crate::core::start::{Dispatch, Fate, NotRun, Verdict};
 use crate::proto;
 
 pub(crate) fn job_out(key: &JobKey) -> proto::JobKey {
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -51,3 +51,22 @@
         fulmardrift::Config::read(&path).unwrap();
     }
 }
+
+#[test]
+fn every_test_and_trace_named_for_a_promise_exists() {
+    let page = include_str!("../docs/promises.md");
+    let mut named = 0;
+    for word in page.split(|c: char| !(c.is_ascii_alphanumeric() || matches!(c, ':' | '_'))) {
+        let Some((file, test)) = word.split_once("::") else {
+            continue;
+        };
+        let source = std::fs::read_to_string(format!("tests/{file}.rs")).unwrap();
+        assert!(source.contains(&format!("fn {test}()")), "{word}");
+        named += 1;
+    }
+    assert!(named > 30, "{named}");
+    assert!(
+        !page.contains("|  |") && !page.contains("| |"),
+        "an empty cell"
+    );
+}
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,200 @@
+//! Limits: queues, retries, shares of teams, waves, workers that fail.
+
+mod fakes;
+
+use fakes::{World, key, submission};
+use fulmardrift::{Answer, EntryInput, Failure, Incarnation, Kind, Millis, Refusal};
+
+fn agents(world: &World) -> Vec<Incarnation> {
+    world.agents.keys().copied().collect()
+}
+
+fn is_complete(answer: Option<&Answer>, tasks: usize) -> bool {
+    matches!(answer, Some(Answer::Complete(results)) if results.len() == tasks)
+}
+
+#[test]
+fn a_stopping_entry_refuses_new_work_truly_and_answers_the_rest() {
+    let mut world = World::new(1, 1, 1, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    let before = world.submit(entry, submission(&key("a"), false, 3));
+    world.entry(entry, EntryInput::Stop);
+    let after = world.submit(entry, submission(&key("b"), false, 1));
+    let refused = Answer::Refused(Refusal::Stopping, None);
+    assert_eq!(world.answer(entry, after), Some(&refused));
+    world.settle();
+    assert!(is_complete(world.answer(entry, before), 3));
+    assert!(world.entries[&entry].is_idle());
+}
+
+#[test]
+fn a_job_that_fits_nowhere_is_refused_after_the_grace() {
+    let mut world = World::new(1, 1, 1, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    let mut job = submission(&key("a"), false, 1);
+    job.service = "nowhere".to_owned();
+    let handle = world.submit(entry, job);
+    world.entry(entry, EntryInput::Tick);
+    assert!(world.answer(entry, handle).is_none());
+    world.now = Millis(5_100);
+    world.entry(entry, EntryInput::Tick);
+    let refused = Answer::Refused(Refusal::NeverFits, None);
+    assert_eq!(world.answer(entry, handle), Some(&refused));
+}
+
+#[test]
+fn a_wave_of_cancellations_starts_nothing_more() {
+    let mut world = World::new(1, 2, 2, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    let jobs: Vec<_> = (0..2_000)
+        .map(|i| {
+            let key = key(&format!("j{i}"));
+            let mut job = submission(&key, false, 3);
+            for task in &mut job.tasks {
+                task.declared = Some(Millis(1));
+            }
+            (world.submit(entry, job), key)
+        })
+        .collect();
+    while !world.wires.is_empty() {
+        world.deliver(0);
+    }
+    let started = world.total_starts();
+    for (_, key) in &jobs {
+        world.entry(entry, EntryInput::Cancel(key.clone()));
+    }
+    // One message for each agent that has tasks of a job, none for the others.
+    assert!(
+        world.wires.len() <= started as usize,
+        "{} messages",
+        world.wires.len()
+    );
+    world.settle();
+    assert_eq!(world.total_starts(), started);
+    for (handle, key) in jobs {
+        let ran = world.starts.keys().any(|(job, _)| *job == key);
+        match world.answer(entry, handle) {
+            Some(Answer::Refused(Refusal::Cancelled, None)) => assert!(!ran),
+            Some(Answer::Failed(Failure::Cancelled)) => {}
+            other => panic!("{key}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_worker_that_fails_all_loses_few_jobs() {
+    let mut world = World::new(1, 5, 1, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    let broken = agents(&world)[0];
+    let mut failed = 0;
+    for i in 0..100 {
+        let handle = world.submit(entry, submission(&key(&format!("j{i}")), false, 2));
+        for _ in 0..50 {
+            while !world.wires.is_empty() {
+                world.deliver(0);
+            }
+            if world.running.is_empty() {
+                break;
+            }
+            match world.running.iter().position(|d| d.agent == broken) {
+                Some(at) => world.fail(at),
+                None => world.finish(0),
+            }
+        }
+        failed += u32::from(!is_complete(world.answer(entry, handle), 2));
+        world.now = world.now + Millis(10);
+        for agent in agents(&world) {
+            world.lease_agent(agent);
+        }
+        world.lease_entry(entry);
+    }
+    // Three to open the breaker, then single trials with growing pauses.
+    assert!(failed <= 5, "{failed} of 100 jobs failed");
+}
+
+#[test]
+fn retries_stop_when_the_budget_is_spent() {
+    let mut world = World::new(1, 2, 1, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    for i in 0..200 {
+        let mut request = submission(&key(&format!("r{i}")), false, 1);
+        request.kind = Kind::Request { repeatable: true };
+        world.submit(entry, request);
+        for _ in 0..20 {
+            while !world.wires.is_empty() {
+                world.deliver(0);
+            }
+            if world.running.is_empty() {
+                break;
+            }
+            world.fail(0);
+        }
+        world.now = world.now + Millis(1);
+    }
+    // Ten saved up, and one for every ten requests.
+    let retried = world.entries[&entry].counts().retried;
+    assert!(retried <= 31, "{retried} retries");
+}
+
+#[test]
+fn overload_is_refused_early_with_a_time_to_come_back() {
+    let mut world = World::new(1, 1, 1, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    let mut refused = 0;
+    for i in 0..40 {
+        let mut job = submission(&key(&format!("j{i}")), false, 100);
+        for task in &mut job.tasks {
+            task.declared = Some(Millis(200));
+        }
+        let handle = world.submit(entry, job);
+        if let Some(Answer::Refused(Refusal::Overload, Some(retry))) = world.answer(entry, handle) {
+            assert!(*retry > Millis(0));
+            refused += 1;
+        }
+    }
+    // A minute's work of one slot is taken, the rest is turned away.
+    assert!((35..40).contains(&refused), "{refused} refused");
+}
+
+#[test]
+fn teams_share_by_weight_and_stay_under_their_caps() {
+    let mut world = World::new(1, 1, 8, &[]);
+    let entry = *world.entries.keys().next().unwrap();
+    let right = |team: &str, share, cap| fulmardrift::TeamRights {
+        team: team.to_owned(),
+        share,
+        cap,
+    };
+    let rights = vec![
+        right("desk", 3, None),
+        right("depot", 1, None),
+        right("tiny", 1, Some(1)),
+    ];
+    world.entry(entry, EntryInput::Teams(rights));
+    for team in ["desk", "depot", "tiny"] {
+        let mut job = submission(&key("a"), false, 200);
+        job.key.team = team.to_owned();
+        world.submit(entry, job);
+    }
+    for _ in 0..100 {
+        while !world.wires.is_empty() {
+            world.deliver(0);
+        }
+        let tiny = world
+            .running
+            .iter()
+            .filter(|d| d.job.team == "tiny")
+            .count();
+        assert!(tiny <= 1, "over its cap: {tiny}");
+        world.finish(0);
+    }
+    let count = |team: &str| {
+        let of_team = world.starts.keys().filter(|(job, _)| job.team == team);
+        u32::try_from(of_team.count()).unwrap()
+    };
+    let (desk, depot) = (count("desk"), count("depot"));
+    assert!(
+        desk >= 2 * depot && desk <= 4 * depot + 8,
+        "desk {desk}, depot {depot}"
+    );
+}
