--- a/tests/fakes/stage.rs
+++ b/tests/fakes/stage.rs
@@ -7,6 +7,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 /// Longest that anything awaited may take on a slow machine.
@@ -30,13 +31,23 @@
     }
 }
 
+/// Below the range that the system takes for outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+const PORTS_A_PROCESS: u16 = 200;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Ports that nothing listens at, each given out once in this process.
 fn ports(count: usize) -> Vec<u16> {
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    held.iter()
-        .map(|l| l.local_addr().unwrap().port())
-        .collect()
+    let block = u16::try_from(std::process::id() % 100).unwrap();
+    let first = FIRST_PORT + block * PORTS_A_PROCESS;
+    let mut free = Vec::new();
+    while free.len() < count {
+        let port = first + NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            free.push(port);
+        }
+    }
+    free
 }
 
 /// An HTTP answer.
