'Not run' is no longer said of a key whose claim is not known

Cause: found on rereading. A keyed submission whose claim control never answered, or whose deadline passed while the claim was under way, got 'refused, nothing was run', though the same key may be running at another entry: a refusal that is not true. Overload and stopping said 'nothing was run' of keyed calls, too.

Change: such a submission is 'failed' (no control: this call ran nothing, an earlier one under the same key may have), and submitting it again claims anew.

Ruled out: looking the key up first, which asks the same control that does not answer.

Before: starts::not_run_is_never_said_of_a_key_whose_claim_is_not_known failed with Refused(NoClaim).

--- a/src/core/entry.rs
+++ b/src/core/entry.rs
@@ -238,9 +238,16 @@
         }
     }
 
-    /// Drops a refused job, so that its key can be submitted anew.
+    /// Drops a job that was refused, or whose claim was never answered, so that its
+    /// key can be submitted anew.
     fn forget_refused(&mut self, handle: Handle) -> bool {
-        let refused = |job: &Job| matches!(job.answer, Some(Answer::Refused(..)));
+        let refused = |job: &Job| {
+            let answer = job.answer.as_ref();
+            matches!(
+                answer,
+                Some(Answer::Refused(..) | Answer::Failed(Failure::NoClaim))
+            )
+        };
         if !self.jobs.get(&handle).is_some_and(refused) {
             return false;
         }
@@ -585,6 +592,10 @@
 
 /// The answer to a job that is given up: refused only when nothing can have run.
 pub(crate) fn give_up(job: &Job, refusal: Refusal, failure: Failure) -> Answer {
+    if job.state == JobState::Claiming {
+        // Nobody knows yet whose job it is.
+        return Answer::Failed(Failure::NoClaim);
+    }
     let unsure = matches!(job.state, JobState::Attached | JobState::Recovering);
     if job.started || unsure || job.agents.iter().any(|(_, count)| *count > 0) {
         Answer::Failed(failure)
--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -106,8 +106,6 @@
     Deadline,
     /// The caller cancelled it before any task started.
     Cancelled,
-    /// The claim could not be written.
-    NoClaim,
     /// The entry stops.
     Stopping,
 }
@@ -137,6 +135,9 @@
     Unaccounted,
     /// The owner is lost, and nothing is on record that could go on.
     OwnerLost,
+    /// Control did not answer the claim: an earlier submission under the same key
+    /// may have run elsewhere.
+    NoClaim,
 }
 
 /// The outcome of a submission.
--- a/src/core/own.rs
+++ b/src/core/own.rs
@@ -40,7 +40,7 @@
                 self.settle(now, handle, answer, out)?;
             }
             Claimed::Unknown => {
-                let answer = Answer::Refused(Refusal::NoClaim, None);
+                let answer = Answer::Failed(Failure::NoClaim);
                 self.settle(now, handle, answer, out)?;
             }
             Claimed::TakenOver {
--- a/src/shell/jobs_http.rs
+++ b/src/shell/jobs_http.rs
@@ -499,6 +499,11 @@
             "owner and backend server lost",
             "tasks may have run where nobody can tell any more".to_owned(),
         ),
+        Failure::NoClaim => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no control",
+            "this call ran nothing; an earlier one under the same key may have".to_owned(),
+        ),
         Failure::OwnerLost => (
             StatusCode::SERVICE_UNAVAILABLE,
             "owner lost",
@@ -523,7 +528,7 @@
         Refusal::Overload => (
             StatusCode::SERVICE_UNAVAILABLE,
             "overload",
-            "the queue is full; nothing was run",
+            "the queue is full; this call ran nothing, an earlier one under the same key may have",
         ),
         Refusal::Deadline => (
             StatusCode::GATEWAY_TIMEOUT,
@@ -535,15 +540,10 @@
             "cancelled",
             "no task had started; nothing was run",
         ),
-        Refusal::NoClaim => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no control",
-            "the claim could not be written; nothing was run",
-        ),
         Refusal::Stopping => (
             StatusCode::SERVICE_UNAVAILABLE,
             "stopping",
-            "this entry stops; nothing was run",
+            "this entry stops; this call ran nothing, an earlier one under the same key may have",
         ),
     };
     Problem::refused(code, title, detail)
--- a/tests/starts.rs
+++ b/tests/starts.rs
@@ -496,3 +496,41 @@
     assert_eq!((world.most_starts(), world.total_starts()), (1, 2));
     assert_eq!(SERVICE, "proof");
 }
+
+#[test]
+fn not_run_is_never_said_of_a_key_whose_claim_is_not_known() {
+    // The job runs at the first entry; the second never hears of its claim.
+    for deadline in [false, true] {
+        let mut world = World::new(2, 1, 1, &[]);
+        let (first, second) = entries(&world);
+        world.submit(first, submission(&key("a"), true, 1));
+        while !world.wires.is_empty() {
+            world.deliver(0);
+        }
+        assert_eq!(world.total_starts(), 1);
+        let mut again = submission(&key("a"), true, 1);
+        again.deadline = Millis(100);
+        let handle = world.submit(second, again.clone());
+        world.wires.clear();
+        if deadline {
+            world.now = Millis(100);
+            world.entry(second, EntryInput::Tick);
+        } else {
+            let unknown = fulmardrift::Claimed::Unknown;
+            world.entry(second, EntryInput::Claimed(handle, unknown));
+        }
+        let answer = world.answer(second, handle);
+        assert!(
+            matches!(answer, Some(Answer::Failed(_))),
+            "deadline={deadline}: {answer:?}"
+        );
+        // Asked once more, it claims once more, and gets the one answer.
+        again.deadline = Millis(1_000_000);
+        let handle = world.submit(second, again);
+        world.settle();
+        let answer = world.answer(second, handle);
+        let whole = matches!(answer, Some(Answer::Relayed { status: 200, .. }));
+        assert!(whole, "deadline={deadline}: {answer:?}");
+        assert_eq!(world.total_starts(), 1);
+    }
+}
