--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -189,14 +189,7 @@
         self.heard = now;
         self.progress = Table::default();
         for peer in self.peers.clone() {
-            let progress = Progress {
-                disk: None,
-                next: self.log.last().index.next(),
-                matched: Index(0),
-                echoed: None,
-                flying: 0,
-                sent: now,
-            };
+            let progress = Progress::new(self.log.last().index.next(), now);
             self.progress.insert(peer, progress);
         }
         let first = self.append_own(now, vec![Payload::Noop], out);
--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -105,6 +105,8 @@
 pub(crate) struct Log {
     pub(crate) snapshot: Snapshot,
     entries: Vec<LogEntry>,
+    // Places of the entries that name voters, rising.
+    naming: Vec<Index>,
 }
 
 impl Default for Log {
@@ -117,6 +119,7 @@
         Self {
             snapshot,
             entries: Vec::new(),
+            naming: Vec::new(),
         }
     }
 }
@@ -169,6 +172,10 @@
         if let Some(at) = self.offset(first.position.index) {
             self.entries.truncate(at);
             self.entries.extend_from_slice(entries);
+            self.naming.retain(|index| *index < first.position.index);
+            let names = |e: &&LogEntry| matches!(e.payload, Payload::Voters(_));
+            let named = entries.iter().filter(names).map(|e| e.position.index);
+            self.naming.extend(named);
         }
     }
 
@@ -179,34 +186,34 @@
         let same = self.term(at.index) == Some(at.term);
         if same {
             self.entries.retain(|e| e.position.index > at.index);
+            self.naming.retain(|index| *index > at.index);
         } else {
             self.entries.clear();
+            self.naming.clear();
         }
         self.snapshot = snapshot;
     }
 
     /// The voters by the latest entry that names them, and where it stands.
     pub(crate) fn voters(&self) -> (&[Voter], Index) {
-        for entry in self.entries.iter().rev() {
-            if let Payload::Voters(voters) = &entry.payload {
-                return (voters, entry.position.index);
-            }
-        }
-        (&self.snapshot.voters, self.snapshot.position.index)
+        self.named_by(self.naming.len())
     }
 
     pub(crate) fn voters_at(&self, index: Index) -> Vec<Voter> {
-        let upto = self
-            .entries
-            .iter()
-            .rev()
-            .filter(|e| e.position.index <= index);
-        for entry in upto {
-            if let Payload::Voters(voters) = &entry.payload {
-                return voters.clone();
-            }
+        let upto = self.naming.partition_point(|at| *at <= index);
+        self.named_by(upto).0.to_vec()
+    }
+
+    /// The voters that the latest of the first `count` naming entries names.
+    fn named_by(&self, count: usize) -> (&[Voter], Index) {
+        let at = count.checked_sub(1).map(|last| self.naming[last]);
+        if let Some(index) = at
+            && let Some(entry) = self.get(index)
+            && let Payload::Voters(voters) = &entry.payload
+        {
+            return (voters, index);
         }
-        self.snapshot.voters.clone()
+        (&self.snapshot.voters, self.snapshot.position.index)
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -93,6 +93,19 @@
     pub(crate) sent: Millis,
 }
 
+impl Progress {
+    pub(crate) fn new(next: Index, now: Millis) -> Self {
+        Self {
+            disk: None,
+            next,
+            matched: Index(0),
+            echoed: None,
+            flying: 0,
+            sent: now,
+        }
+    }
+}
+
 /// One replica.
 #[derive(Debug, Clone)]
 pub struct Raft {
@@ -127,6 +140,10 @@
     pub(crate) rng: Pcg64Mcg,
     // Rules turned off; empty outside of a checker.
     pub(crate) off: Vec<RaftGuard>,
+    // Replicas that are not in the settings may join.
+    pub(crate) open: bool,
+    // This replica may found a group.
+    pub(crate) founder: bool,
 }
 
 /// What a replica starts from, as read from its data folder.
@@ -193,6 +210,8 @@
             synced_write: 0,
             rng: Pcg64Mcg::seed_from_u64(seed.rotate_left(SEED_SHIFT) ^ durable.disk.0),
             off: Vec::new(),
+            open: false,
+            founder: true,
         };
         for record in durable.records {
             raft.replay(record);
@@ -226,7 +245,7 @@
     }
 
     fn receive(&mut self, now: Millis, message: Message, out: &mut Vec<RaftOutput>) {
-        if message.to != self.id || !self.peers.contains(&message.from) {
+        if message.to != self.id || !self.knows(now, message.from) {
             return;
         }
         let Message {
@@ -296,7 +315,60 @@
         }
     }
 
+    /// Lets replicas join that this one was not told of at its start. Only a
+    /// `founder` may take part in the founding of a group.
+    #[must_use]
+    pub fn open_to_join(mut self, founder: bool) -> Self {
+        self.open = true;
+        self.founder = founder;
+        self
+    }
+
+    fn knows(&mut self, now: Millis, peer: ReplicaId) -> bool {
+        if self.peers.contains(&peer) {
+            return true;
+        }
+        if self.open && peer != self.id {
+            self.meet(now, peer);
+        }
+        self.open && peer != self.id
+    }
+
+    fn meet(&mut self, now: Millis, peer: ReplicaId) {
+        self.peers.push(peer);
+        if self.is_leader() {
+            let next = self.log.last().index.next();
+            self.progress.insert(peer, Progress::new(next, now));
+        }
+    }
+
+    /// The log may name replicas that this one has not met.
+    fn meet_voters(&mut self, now: Millis) {
+        if !self.open {
+            return;
+        }
+        let unknown = |v: &&Voter| v.id != self.id && !self.peers.contains(&v.id);
+        let met: Vec<_> = self.log.voters().0.iter().filter(unknown).map(|v| v.id).collect();
+        for peer in met {
+            self.meet(now, peer);
+        }
+    }
+
+    /// The replicas of the group, or those to be asked while there is none.
+    #[must_use]
+    pub fn members(&self) -> Vec<ReplicaId> {
+        let voters = self.log.voters().0;
+        if voters.is_empty() {
+            let mut all = self.peers.clone();
+            all.push(self.id);
+            all.sort_unstable();
+            return all;
+        }
+        voters.iter().map(|v| v.id).collect()
+    }
+
     fn tick(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
+        self.meet_voters(now);
         if self.log.is_empty() {
             self.greet(now, out);
             return;
--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -13,6 +13,10 @@
 
 /// A replica counts as caught up when it lacks no more entries than this.
 const CAUGHT_UP: u64 = 64;
+/// A group is not made larger than this: each further voter slows a commit.
+const MOST_VOTERS: usize = 5;
+/// A voter silent for so long makes place for a newcomer; a restart is shorter.
+const SILENT_AFTER: Millis = Millis(12_000);
 
 impl Raft {
     /// An empty replica's regular work.
@@ -91,6 +95,9 @@
 
     /// The lowest replica founds the group once all others are known to be empty.
     fn found(&mut self, out: &mut Vec<RaftOutput>) {
+        if !self.founder {
+            return;
+        }
         let lowest = self.peers.iter().all(|peer| *peer > self.id);
         let all = self.peers.iter().all(|peer| {
             let current = |v: &Voter| v.id == *peer && self.greeted.get(peer) == Some(&v.disk);
@@ -154,7 +161,7 @@
             return;
         }
         let last = self.log.last().index.0;
-        let newcomer = self.progress.iter().find_map(|(id, p)| {
+        let newcomers = self.progress.iter().filter_map(|(id, p)| {
             let voter = Voter {
                 id: *id,
                 disk: p.disk?,
@@ -162,16 +169,43 @@
             let near = p.matched.0 > 0 && p.matched.0 + CAUGHT_UP >= last;
             (near && !voters.contains(&voter)).then_some(voter)
         });
-        let Some(newcomer) = newcomer else {
+        let changed = newcomers
+            .into_iter()
+            .find_map(|newcomer| self.with_newcomer(now, newcomer));
+        let Some(voters) = changed else {
             return;
         };
-        let mut voters = voters.to_vec();
-        let before = voters.len();
-        voters.retain(|v| v.id != newcomer.id);
-        if voters.len() == before {
-            voters.push(newcomer);
-            voters.sort_unstable();
-        }
         self.append_own(now, vec![Payload::Voters(voters)], out);
     }
+
+    /// The voters after the next step towards taking a newcomer in: first its own
+    /// former disk goes, or a voter that has long been silent, then it comes.
+    fn with_newcomer(&self, now: Millis, newcomer: Voter) -> Option<Vec<Voter>> {
+        let (voters, _) = self.log.voters();
+        let mut next = voters.to_vec();
+        next.retain(|v| v.id != newcomer.id);
+        if next.len() < voters.len() {
+            return Some(next);
+        }
+        if let Some(silent) = self.silent_voter(now) {
+            next.retain(|v| *v != silent);
+            return Some(next);
+        }
+        if next.len() >= MOST_VOTERS {
+            return None;
+        }
+        next.push(newcomer);
+        next.sort_unstable();
+        Some(next)
+    }
+
+    /// A voter that nobody has heard for long.
+    fn silent_voter(&self, now: Millis) -> Option<Voter> {
+        let voters = self.log.voters().0.iter();
+        voters.copied().find(|voter| {
+            let progress = self.progress.get(&voter.id);
+            let heard = progress.and_then(|p| p.echoed).unwrap_or(self.heard);
+            voter.id != self.id && self.open && now.since(heard) > SILENT_AFTER
+        })
+    }
 }
--- /dev/null
+++ b/src/dispatch/call.rs
@@ -0,0 +1,66 @@
+//! Calls of clients and operators, and their answers.
+
+use serde::{Deserialize, Serialize};
+
+use super::spec::{JobSpec, Setup, State};
+use crate::core::clock::Millis;
+
+/// A call that the group's leader decides.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// A call of a client.
+    Client {
+        /// The host it names.
+        host: String,
+        /// Its path.
+        path: String,
+        /// What it wants.
+        want: Want,
+    },
+    /// Put a configuration in force; `None` when it was not valid.
+    PutSetup(Option<Setup>),
+    /// Read the newest configuration.
+    GetSetup,
+    /// Take a data centre out (true) or back in.
+    Evacuate(String, bool),
+}
+
+/// What a client wants of the queue or job that it names.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Want {
+    /// Submit the job; `None` when the body could not be read.
+    Submit(Option<JobSpec>),
+    /// Tell the job's state, or the queue's length.
+    Look,
+    /// Cancel the job.
+    Cancel,
+}
+
+/// The answer to a [`Call`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Accepted and stored.
+    Done,
+    /// A job's state.
+    State(State),
+    /// Jobs of a queue that have not begun.
+    Pending(u64),
+    /// The configuration as it was sent.
+    Document(Vec<u8>),
+    /// No such queue.
+    NoQueue,
+    /// No such job.
+    NoJob,
+    /// The call itself is wrong.
+    Invalid(String),
+    /// Something else is held under the same name or version.
+    Conflict,
+    /// Not taken, nothing has run; ask again after this time.
+    Refused(Millis),
+    /// No configuration yet.
+    NoSetup,
+    /// This instance does not lead; nothing was taken.
+    NotLeader,
+    /// It may or may not have been taken.
+    Unknown,
+}
--- /dev/null
+++ b/src/dispatch/leader.rs
@@ -0,0 +1,851 @@
+//! The leader's dispatching: which task starts where, and what becomes of it.
+
+use super::book::{Book, Change, End, Entry, Job, OpenJob};
+use super::live::{LiveJob, LiveTask, Phase, Rank};
+use super::spec::{Ending, JobId, Resources, Run, State, TaskId};
+use super::wire::{Denial, Down, Order, Report, Server};
+use super::worker::{Placed, SessionId, Worker, WorkerId};
+use crate::control::log::Term;
+use crate::core::clock::Millis;
+use crate::core::table::Table;
+use crate::events;
+
+/// An agent may act so long after it asked; an election fits in.
+pub(crate) const GRANT: Millis = Millis(1_500);
+/// Added to grant and lease before a silent worker counts as empty: clock drift
+/// and hops.
+const LAPSE_MARGIN: Millis = Millis(250);
+/// The backend server's clock may run so much slow, in percent.
+const DRIFT_PERCENT: u64 = 2;
+/// Bits of a run below the term.
+const RUN_BITS: u32 = 32;
+/// Jobs that find no room in a row before the rest is left for later.
+const MISSES: usize = 12;
+/// How often the waiting jobs are ranked anew.
+const RANK_EVERY: Millis = Millis(40);
+/// How often runs are searched for ones that stand still.
+const SLOW_EVERY: Millis = Millis(100);
+/// A run is not judged slow before this age; reports of progress come late.
+const SLOW_AGE: Millis = Millis(500);
+/// A run is slow when it is likely to last so many times what a restart takes.
+const SLOW_TIMES: f64 = 2.0;
+/// A task is moved for slowness at most so often.
+const MOVES: u32 = 2;
+/// Weight of the latest run in a queue's learned ratio of duration to estimate.
+const RATIO_WEIGHT: f64 = 0.05;
+/// Data elsewhere makes a task so much slower, for placement.
+const OTHER_RACK: f64 = 1.5;
+/// An agent that has been gone so long is no longer waited for at a take-over.
+const DISMISS_AFTER: Millis = Millis(60_000);
+
+/// What the leader wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum LeaderOutput {
+    Propose(Entry),
+    Down(SessionId, Down),
+}
+
+/// The dispatcher of one leadership.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    term: Term,
+    // Longest lease of a backend server.
+    hold: Millis,
+    workers: Vec<Worker>,
+    by_agent: Table<String, WorkerId>,
+    jobs: Table<JobId, LiveJob>,
+    // Jobs with tasks to start, most urgent first.
+    waiting: Vec<(Rank, JobId)>,
+    // Agents of former leaders that have not been heard, until they count as
+    // empty.
+    awaited: Vec<String>,
+    await_until: Millis,
+    // Ended jobs by the time of their end.
+    ended: Vec<(Millis, JobId)>,
+    // Duration against estimate, by queue's service and priority.
+    ratios: Table<(String, u32), f64>,
+    runs: u64,
+    ranked: Millis,
+    searched: Millis,
+}
+
+impl Leader {
+    /// Takes up all jobs of the book at the start of a term.
+    pub(crate) fn new(term: Term, hold: Millis, book: &Book, now: Millis) -> Self {
+        let mut leader = Self {
+            term,
+            hold,
+            workers: Vec::new(),
+            by_agent: Table::default(),
+            jobs: Table::default(),
+            waiting: Vec::new(),
+            awaited: book.agents.clone(),
+            await_until: now,
+            ended: Vec::new(),
+            ratios: Table::default(),
+            runs: 0,
+            ranked: now,
+            searched: now,
+        };
+        leader.await_until = now + leader.lapse();
+        for (id, job) in book.jobs.iter() {
+            match job {
+                Job::Open(job) => {
+                    leader.jobs.insert(*id, LiveJob::new(job, now, Phase::Unknown));
+                }
+                Job::Ended(_) => leader.ended.push((now, *id)),
+            }
+        }
+        events::TAKE_OVER.log(format_args!(
+            "term={} open={} awaited={}",
+            term.0,
+            leader.jobs.len(),
+            leader.awaited.len()
+        ));
+        leader.settle_awaited(now);
+        leader
+    }
+
+    /// After so long without a grant a worker runs nothing.
+    fn lapse(&self) -> Millis {
+        let hold = self.hold.0;
+        GRANT + Millis(hold + hold * DRIFT_PERCENT / 100) + LAPSE_MARGIN
+    }
+
+    /// Makes the tasks of unknown state startable once no unheard agent can hold
+    /// them.
+    fn settle_awaited(&mut self, now: Millis) {
+        if !self.awaited.is_empty() && now < self.await_until {
+            return;
+        }
+        if !self.awaited.is_empty() {
+            events::NOT_HEARD.log(format_args!("agents={:?} lapsed=true", self.awaited));
+            self.awaited.clear();
+        }
+        let mut freed = Vec::new();
+        for (id, job) in self.jobs.iter_mut() {
+            let mut any = false;
+            for task in job.tasks.iter_mut().flatten() {
+                if task.phase == Phase::Unknown {
+                    task.phase = Phase::Ready;
+                    any = true;
+                }
+            }
+            if any {
+                freed.push(*id);
+            }
+        }
+        for id in freed {
+            self.queue(now, id);
+        }
+    }
+
+    fn queue(&mut self, now: Millis, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if self.waiting.iter().any(|(_, known)| *known == id) {
+            return;
+        }
+        let row = (job.rank(now), id);
+        let at = self.waiting.partition_point(|other| *other <= row);
+        self.waiting.insert(at, row);
+    }
+
+    /// The jobs that have not ended.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &JobId> {
+        self.jobs.iter().map(|(id, _)| id)
+    }
+
+    /// True once a task of the job has started, as far as this leader knows.
+    pub(crate) fn has_started(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|j| j.started)
+    }
+
+    /// Takes what applying an entry changed.
+    pub(crate) fn changed(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        change: &Change,
+        out: &mut Vec<LeaderOutput>,
+    ) {
+        match change {
+            Change::None => {}
+            Change::Accepted(id) => {
+                if let Some(job) = book.open(*id) {
+                    self.jobs.insert(*id, LiveJob::new(job, now, Phase::Ready));
+                    self.queue(now, *id);
+                }
+            }
+            Change::TaskEnded(end) => self.on_recorded(now, book, end, out),
+            Change::Ended(id, state) => self.on_ended(now, *id, *state, out),
+        }
+    }
+
+    fn on_recorded(&mut self, now: Millis, book: &Book, end: &End, out: &mut Vec<LeaderOutput>) {
+        for worker in &mut self.workers {
+            if worker.recorded(end) {
+                tell_recorded(worker, out);
+            }
+        }
+        let done = book.open(end.task.job).and_then(|j| j.task(end.task)).is_none_or(|t| t.done);
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(end.task) {
+            if done {
+                task.phase = Phase::Done;
+            } else if task.phase == Phase::Ending {
+                task.phase = Phase::Ready;
+            }
+        }
+        if job.has_ready() {
+            self.queue(now, end.task.job);
+        }
+    }
+
+    fn on_ended(&mut self, now: Millis, id: JobId, state: State, out: &mut Vec<LeaderOutput>) {
+        self.ended.push((now, id));
+        self.waiting.retain(|(_, known)| *known != id);
+        let job = self.jobs.remove(&id);
+        let age = job.map_or(Millis(0), |j| now.since(j.since));
+        events::JOB_ENDED.log(format_args!("job={id} state={state:?} after_ms={}", age.0));
+        for worker in &mut self.workers {
+            let Some(session) = worker.session else {
+                continue;
+            };
+            for ((task, run), placed) in worker.runs.iter_mut() {
+                if task.job == id && !placed.stopping {
+                    placed.stopping = true;
+                    let order = Order::Stop { task: *task, run: *run };
+                    out.push(LeaderOutput::Down(session, Down::Order(order)));
+                }
+            }
+        }
+    }
+
+    /// An agent's session is up.
+    pub(crate) fn connected(&mut self, now: Millis, agent: &str, session: SessionId) {
+        let id = self.worker_id(now, agent);
+        let worker = &mut self.workers[id.0];
+        worker.session = Some(session);
+        worker.ready = false;
+        worker.heard = now;
+        worker.granted = now;
+    }
+
+    fn worker_id(&mut self, now: Millis, agent: &str) -> WorkerId {
+        if let Some(id) = self.by_agent.get(&agent.to_owned()) {
+            return *id;
+        }
+        let id = WorkerId(self.workers.len());
+        self.workers.push(Worker::new(agent, now));
+        self.by_agent.insert(agent.to_owned(), id);
+        id
+    }
+
+    fn by_session(&mut self, session: SessionId) -> Option<WorkerId> {
+        let at = self.workers.iter().position(|w| w.session == Some(session))?;
+        Some(WorkerId(at))
+    }
+
+    /// A session is gone.
+    pub(crate) fn disconnected(&mut self, session: SessionId) {
+        if let Some(id) = self.by_session(session) {
+            let worker = &mut self.workers[id.0];
+            worker.session = None;
+            worker.ready = false;
+            events::AGENT_LOST.log(format_args!(
+                "agent={} runs={} granted={}",
+                worker.agent,
+                worker.runs.len(),
+                worker.granted.0
+            ));
+        }
+    }
+
+    /// An agent's heartbeat; true when the agent may be granted the right to act.
+    pub(crate) fn beat(&mut self, now: Millis, session: SessionId) -> bool {
+        let Some(id) = self.by_session(session) else {
+            return false;
+        };
+        self.workers[id.0].heard = now;
+        self.workers[id.0].granted = now;
+        true
+    }
+
+    /// An agent's report.
+    pub(crate) fn report(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        session: SessionId,
+        report: Report,
+        out: &mut Vec<LeaderOutput>,
+    ) {
+        let Some(id) = self.by_session(session) else {
+            return;
+        };
+        self.workers[id.0].heard = now;
+        match report {
+            Report::Inventory { term, server, runs } => {
+                if term == self.term {
+                    self.take_inventory(now, book, id, server, &runs, out);
+                }
+            }
+            Report::Server(server) => {
+                if server.as_ref().map_or(0, |s| s.life) != self.workers[id.0].life() {
+                    self.empty(now, id);
+                }
+                self.workers[id.0].set_server(server);
+            }
+            Report::Started(task, run) => self.on_started(now, id, (task, run)),
+            Report::NotStarted { task, run, reason } => {
+                self.on_not_started(now, id, (task, run), reason);
+            }
+            Report::Ends { life, ends } => self.on_ends(now, book, id, life, &ends, out),
+            Report::Progress(rows) => {
+                for (task, run, percent) in rows {
+                    if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
+                        placed.percent = percent;
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_inventory(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        id: WorkerId,
+        server: Option<Server>,
+        runs: &[(TaskId, Run)],
+        out: &mut Vec<LeaderOutput>,
+    ) {
+        let worker = &mut self.workers[id.0];
+        if server.as_ref().map_or(0, |s| s.life) != worker.life() {
+            worker.set_server(server);
+        } else {
+            worker.server = server;
+        }
+        worker.ready = true;
+        let gone: Vec<_> = worker.runs.iter().map(|(key, _)| *key).filter(|k| !runs.contains(k)).collect();
+        events::INVENTORY.log(format_args!(
+            "agent={} life={} runs={} gone={}",
+            worker.agent,
+            worker.life(),
+            runs.len(),
+            gone.len()
+        ));
+        let agent = worker.agent.clone();
+        for key in gone {
+            self.release(now, id, key);
+        }
+        for key in runs {
+            self.adopt(now, book, id, *key, out);
+        }
+        if book.agents.binary_search(&agent).is_ok() {
+            self.workers[id.0].enrolled = true;
+        } else {
+            out.push(LeaderOutput::Propose(Entry::Enroll(agent.clone())));
+        }
+        if let Ok(at) = self.awaited.binary_search(&agent) {
+            self.awaited.remove(at);
+            if self.awaited.is_empty() {
+                self.settle_awaited(now);
+            }
+        }
+    }
+
+    /// Agents that the log names from now on.
+    pub(crate) fn enrolled(&mut self, book: &Book) {
+        for worker in &mut self.workers {
+            worker.enrolled = book.agents.binary_search(&worker.agent).is_ok();
+        }
+    }
+
+    /// Takes up a run that an agent lists: one that a former leader ordered, or an
+    /// own one.
+    fn adopt(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        id: WorkerId,
+        (task, run): (TaskId, Run),
+        out: &mut Vec<LeaderOutput>,
+    ) {
+        if self.workers[id.0].runs.get(&(task, run)).is_some() {
+            return;
+        }
+        let need = book.open(task.job).map_or(Resources::default(), |j| need(j, task));
+        let live = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
+        let mut wanted = false;
+        if let Some(live) = live
+            && live.phase == Phase::Unknown
+        {
+            live.phase = Phase::On(id);
+            live.run = run;
+            wanted = true;
+        }
+        let estimate = book.open(task.job).map_or(Millis(0), |j| estimate(j, task));
+        let placed = Placed {
+            need,
+            ordered: now,
+            started: None,
+            expected: estimate,
+            nominal: estimate,
+            percent: 0,
+            stopping: !wanted,
+        };
+        let worker = &mut self.workers[id.0];
+        worker.put((task, run), placed);
+        if let (false, Some(session)) = (wanted, worker.session) {
+            out.push(LeaderOutput::Down(session, Down::Order(Order::Stop { task, run })));
+        }
+    }
+
+    /// A run is over or never was: its room is free, and its task can be started
+    /// again unless its end is being recorded.
+    fn release(&mut self, now: Millis, id: WorkerId, (task, run): (TaskId, Run)) {
+        self.workers[id.0].take((task, run));
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if let Some(live) = job.task_mut(task)
+            && live.phase == Phase::On(id)
+            && live.run == run
+        {
+            live.phase = Phase::Ready;
+            self.queue(now, task.job);
+        }
+    }
+
+    /// Nothing runs on this worker any more.
+    fn empty(&mut self, now: Millis, id: WorkerId) {
+        let keys: Vec<_> = self.workers[id.0].runs.iter().map(|(key, _)| *key).collect();
+        if !keys.is_empty() {
+            let agent = &self.workers[id.0].agent;
+            events::WORKER_EMPTY.log(format_args!("agent={agent} runs={}", keys.len()));
+        }
+        for key in keys {
+            self.release(now, id, key);
+        }
+    }
+
+    fn on_started(&mut self, now: Millis, id: WorkerId, key: (TaskId, Run)) {
+        if let Some(placed) = self.workers[id.0].runs.get_mut(&key) {
+            placed.started.get_or_insert(now);
+        }
+        if let Some(job) = self.jobs.get_mut(&key.0.job) {
+            job.started = true;
+        }
+    }
+
+    fn on_not_started(&mut self, now: Millis, id: WorkerId, key: (TaskId, Run), reason: Denial) {
+        events::NOT_STARTED.log(format_args!(
+            "task={} run={} agent={} reason={reason:?}",
+            key.0, key.1.0, self.workers[id.0].agent
+        ));
+        if reason == Denial::Unwell {
+            self.workers[id.0].failed(now);
+        }
+        if let Some(live) = self.jobs.get_mut(&key.0.job).and_then(|j| j.task_mut(key.0)) {
+            live.avoid = Some(id);
+        }
+        self.release(now, id, key);
+    }
+
+    fn on_ends(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        id: WorkerId,
+        life: u64,
+        ends: &[(u64, End)],
+        out: &mut Vec<LeaderOutput>,
+    ) {
+        if self.workers[id.0].life() == 0 {
+            // The inventory, which follows, names the backend server.
+            self.workers[id.0].set_server(Some(unnamed(life)));
+        }
+        if life != self.workers[id.0].life() {
+            return;
+        }
+        let mut record = Vec::new();
+        for (number, end) in ends {
+            if !self.workers[id.0].is_new_end(*number) {
+                continue;
+            }
+            self.workers[id.0].note_end(*number);
+            if self.take_end(now, book, id, end) {
+                self.workers[id.0].await_record(*number, end);
+                record.push(*end);
+            }
+        }
+        if record.is_empty() {
+            tell_recorded(&self.workers[id.0], out);
+        } else {
+            out.push(LeaderOutput::Propose(Entry::Ends(record)));
+        }
+    }
+
+    /// Takes an end; true when it must be recorded before it is forgotten.
+    fn take_end(&mut self, now: Millis, book: &Book, id: WorkerId, end: &End) -> bool {
+        let key = (end.task, end.run);
+        let placed = self.workers[id.0].take(key);
+        if let Some(placed) = &placed {
+            match end.how {
+                Ending::Done => self.learn(now, book, id, end.task, placed),
+                Ending::Failed => self.workers[id.0].failed(now),
+                Ending::Lost => {}
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return false;
+        };
+        let Some(live) = job.task_mut(end.task) else {
+            return false;
+        };
+        let current = live.phase == Phase::On(id) && live.run == end.run;
+        if !current && live.phase != Phase::Unknown {
+            return false;
+        }
+        if end.how != Ending::Done {
+            events::RUN_ENDED.log(format_args!(
+                "task={} run={} agent={} how={:?}",
+                end.task, end.run.0, self.workers[id.0].agent, end.how
+            ));
+            live.avoid = Some(id);
+        }
+        let record = match end.how {
+            Ending::Done | Ending::Failed => {
+                live.phase = Phase::Ending;
+                true
+            }
+            Ending::Lost => {
+                if current {
+                    live.phase = Phase::Ready;
+                }
+                false
+            }
+        };
+        job.started = true;
+        if !record && current {
+            self.queue(now, end.task.job);
+        }
+        record
+    }
+
+    fn learn(&mut self, now: Millis, book: &Book, id: WorkerId, task: TaskId, placed: &Placed) {
+        self.workers[id.0].succeeded(now, placed);
+        let Some(job) = book.open(task.job) else {
+            return;
+        };
+        let Some(started) = placed.started else {
+            return;
+        };
+        let estimate = estimate(job, task).as_f64().max(1.0);
+        let pace = self.workers[id.0].pace.max(0.1);
+        let seen = now.since(started).as_f64() / pace / estimate;
+        let key = (job.terms.service.clone(), job.terms.priority);
+        let ratio = self.ratios.or_insert_with(key, || 1.0);
+        *ratio += (seen.clamp(0.2, 5.0) - *ratio) * RATIO_WEIGHT;
+    }
+
+    fn ratio(&self, job: &OpenJob) -> f64 {
+        let key = (job.terms.service.clone(), job.terms.priority);
+        self.ratios.get(&key).copied().unwrap_or(1.0)
+    }
+
+    /// Regular work: silent workers, slow runs, old outcomes.
+    pub(crate) fn tick(&mut self, now: Millis, keep: Millis, out: &mut Vec<LeaderOutput>) {
+        if !self.awaited.is_empty() {
+            self.settle_awaited(now);
+        }
+        let lapse = self.lapse();
+        for at in 0..self.workers.len() {
+            let worker = &self.workers[at];
+            let silent = now.since(worker.granted) > lapse;
+            if silent && !worker.runs.is_empty() {
+                self.empty(now, WorkerId(at));
+            }
+            let worker = &mut self.workers[at];
+            let gone = now.since(worker.granted) > DISMISS_AFTER && worker.session.is_none();
+            if gone && worker.enrolled {
+                worker.enrolled = false;
+                out.push(LeaderOutput::Propose(Entry::Dismiss(worker.agent.clone())));
+            }
+        }
+        if now.since(self.searched) >= SLOW_EVERY {
+            self.searched = now;
+            self.move_slow(now, out);
+        }
+        if now.since(self.ranked) >= RANK_EVERY {
+            self.ranked = now;
+            self.rank_all(now);
+        }
+        self.forget(now, keep, out);
+    }
+
+    fn rank_all(&mut self, now: Millis) {
+        let jobs = &self.jobs;
+        for (rank, id) in &mut self.waiting {
+            if let Some(job) = jobs.get(id) {
+                *rank = job.rank(now);
+            }
+        }
+        self.waiting.sort_unstable();
+    }
+
+    fn forget(&mut self, now: Millis, keep: Millis, out: &mut Vec<LeaderOutput>) {
+        let old = self.ended.partition_point(|(at, _)| now.since(*at) > keep);
+        if old > 0 {
+            let ids = self.ended.drain(..old).map(|(_, id)| id).collect();
+            out.push(LeaderOutput::Propose(Entry::Forget(ids)));
+        }
+    }
+
+    /// Stops runs that stand still or crawl, so that they start elsewhere.
+    fn move_slow(&mut self, now: Millis, out: &mut Vec<LeaderOutput>) {
+        let mut slow = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            for (key, placed) in worker.runs.iter() {
+                if !placed.stopping && is_slow(now, placed) {
+                    slow.push((WorkerId(at), *key));
+                }
+            }
+        }
+        for (id, (task, run)) in slow {
+            let Some(live) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) else {
+                continue;
+            };
+            if live.moves >= MOVES {
+                continue;
+            }
+            live.moves += 1;
+            live.avoid = Some(id);
+            let worker = &mut self.workers[id.0];
+            worker.failed(now);
+            let Some(session) = worker.session else {
+                continue;
+            };
+            if let Some(placed) = worker.runs.get_mut(&(task, run)) {
+                placed.stopping = true;
+                events::RUN_SLOW.log(format_args!(
+                    "task={task} run={} agent={} percent={} expected_ms={} age_ms={}",
+                    run.0,
+                    worker.agent,
+                    placed.percent,
+                    placed.expected.0,
+                    now.since(placed.ordered).0
+                ));
+            }
+            out.push(LeaderOutput::Down(session, Down::Order(Order::Stop { task, run })));
+        }
+    }
+
+    /// Starts what can be started.
+    pub(crate) fn place(&mut self, now: Millis, book: &Book, out: &mut Vec<LeaderOutput>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut misses = 0;
+        let mut left = Vec::new();
+        let mut waiting = std::mem::take(&mut self.waiting).into_iter();
+        for (rank, id) in waiting.by_ref() {
+            let Some(job) = book.open(id) else {
+                continue;
+            };
+            let before = out.len();
+            if self.place_job(now, book, id, job, out) {
+                continue;
+            }
+            left.push((rank, id));
+            if out.len() == before {
+                misses += 1;
+            }
+            if misses >= MISSES {
+                break;
+            }
+        }
+        left.extend(waiting);
+        self.waiting = left;
+    }
+
+    /// Starts the tasks of a job for which there is room; true when none is left
+    /// that could be started now.
+    fn place_job(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        id: JobId,
+        job: &OpenJob,
+        out: &mut Vec<LeaderOutput>,
+    ) -> bool {
+        let Some(mut live) = self.jobs.remove(&id) else {
+            return true;
+        };
+        let mut whole = true;
+        for (step, tasks) in live.tasks.iter_mut().enumerate() {
+            let any = tasks.iter().any(|t| t.phase == Phase::Ready);
+            if !any || !job.is_due(step) {
+                continue;
+            }
+            for (index, task) in tasks.iter_mut().enumerate() {
+                if task.phase != Phase::Ready {
+                    continue;
+                }
+                let key = TaskId {
+                    job: id,
+                    step: u32::try_from(step).unwrap_or(u32::MAX),
+                    index: u32::try_from(index).unwrap_or(u32::MAX),
+                };
+                if !self.place_task(now, book, job, key, task, out) {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        self.jobs.insert(id, live);
+        whole
+    }
+
+    fn place_task(
+        &mut self,
+        now: Millis,
+        book: &Book,
+        job: &OpenJob,
+        key: TaskId,
+        task: &mut LiveTask,
+        out: &mut Vec<LeaderOutput>,
+    ) -> bool {
+        let Some(id) = self.choose(now, book, job, key, task.avoid) else {
+            return false;
+        };
+        self.runs += 1;
+        let run = Run((self.term.0 << RUN_BITS) + self.runs);
+        task.phase = Phase::On(id);
+        task.run = run;
+        let nominal = Millis(scale(estimate(job, key), self.ratio(job)));
+        let worker = &mut self.workers[id.0];
+        let placed = Placed {
+            need: need(job, key),
+            ordered: now,
+            started: None,
+            expected: Millis(scale(nominal, worker.pace)),
+            nominal,
+            percent: 0,
+            stopping: false,
+        };
+        worker.put((key, run), placed);
+        let life = worker.life();
+        if let Some(session) = worker.session {
+            events::ORDERED.log(format_args!(
+                "task={key} run={} agent={} pace={:.2} used_cpu={} expected_ms={}",
+                run.0, worker.agent, worker.pace, worker.used.cpu, placed.expected.0
+            ));
+            let order = Order::Start {
+                life,
+                task: key,
+                run,
+                payload: job.payload.clone(),
+            };
+            out.push(LeaderOutput::Down(session, Down::Order(order)));
+        }
+        true
+    }
+
+    /// The worker on which the task is likely to end first.
+    fn choose(
+        &self,
+        now: Millis,
+        book: &Book,
+        job: &OpenJob,
+        key: TaskId,
+        avoid: Option<WorkerId>,
+    ) -> Option<WorkerId> {
+        let step = job.steps.get(usize::try_from(key.step).ok()?)?;
+        let mut best: Option<(f64, WorkerId)> = None;
+        for (at, worker) in self.workers.iter().enumerate() {
+            let Some(server) = worker.open(now) else {
+                continue;
+            };
+            let fits = server.capacity.fits(worker.used, step.need);
+            let out = book.out.binary_search(&server.place).is_ok();
+            let labelled = step.label.as_ref().is_none_or(|l| server.labels.contains(l));
+            if !fits || out || !labelled || server.service != job.terms.service {
+                continue;
+            }
+            if step.spread > 0 && worker.of_step(key) >= step.spread as usize {
+                continue;
+            }
+            let mut cost = worker.pace;
+            if step.rack.as_ref().is_some_and(|r| !server.labels.contains(r)) {
+                cost *= OTHER_RACK;
+            }
+            if avoid == Some(WorkerId(at)) {
+                cost *= 4.0;
+            }
+            // Among equals the one with the most room.
+            let full = f64::from(worker.used.cpu) / f64::from(server.capacity.cpu.max(1));
+            cost += full * 0.05;
+            if best.is_none_or(|(known, _)| cost < known) {
+                best = Some((cost, WorkerId(at)));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+}
+
+fn tell_recorded(worker: &Worker, out: &mut Vec<LeaderOutput>) {
+    if let Some(session) = worker.session {
+        let down = Down::Recorded {
+            life: worker.life(),
+            upto: worker.recorded_upto(),
+        };
+        out.push(LeaderOutput::Down(session, down));
+    }
+}
+
+/// A backend server of which only the life is known.
+fn unnamed(life: u64) -> Server {
+    Server {
+        life,
+        id: String::new(),
+        service: String::new(),
+        place: String::new(),
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        leaving: true,
+    }
+}
+
+fn need(job: &OpenJob, task: TaskId) -> Resources {
+    let step = usize::try_from(task.step).ok().and_then(|s| job.steps.get(s));
+    step.map_or(Resources::default(), |s| s.need)
+}
+
+fn estimate(job: &OpenJob, task: TaskId) -> Millis {
+    let step = usize::try_from(task.step).ok().and_then(|s| job.steps.get(s));
+    step.map_or(Millis(0), |s| s.estimate)
+}
+
+/// A time multiplied; durations stay far below 2^53 ms.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn scale(time: Millis, by: f64) -> u64 {
+    (time.as_f64() * by.max(0.0)) as u64
+}
+
+/// True when a run is likely to last much longer than a new start elsewhere.
+fn is_slow(now: Millis, placed: &Placed) -> bool {
+    let age = now.since(placed.started.unwrap_or(placed.ordered));
+    let usual = placed.expected.as_f64().max(50.0);
+    if age < SLOW_AGE || age.as_f64() < usual * SLOW_TIMES {
+        return false;
+    }
+    let done = f64::from(placed.percent.max(1)) / 100.0;
+    let left = age.as_f64() * (1.0 - done) / done;
+    left > usual * SLOW_TIMES
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,17 @@
+//! Stored jobs: who owns them, where their tasks run, and how they end.
+//!
+//! A job is a record of the control group's replicated log. The group's leader
+//! dispatches its tasks to agents, and learns their ends from them. Nothing here
+//! touches a disk, a socket or a clock.
+
+pub(crate) mod agent;
+pub(crate) mod book;
+pub(crate) mod call;
+pub(crate) mod entry;
+pub(crate) mod leader;
+pub(crate) mod live;
+pub(crate) mod replica;
+pub(crate) mod routes;
+pub(crate) mod spec;
+pub(crate) mod wire;
+pub(crate) mod worker;
--- /dev/null
+++ b/src/dispatch/wire.rs
@@ -0,0 +1,130 @@
+//! Messages of the sessions between the system's processes.
+
+use serde::{Deserialize, Serialize};
+
+use super::book::End;
+use super::call::{Call, Reply};
+use super::spec::{Resources, Run, TaskId};
+use crate::control::log::Term;
+use crate::control::message::Message;
+use crate::core::clock::Millis;
+
+/// Who opened a session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Who {
+    Entry(String),
+    Agent(String),
+    Replica(u64),
+}
+
+/// From the process that opened the session to a control instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Up {
+    Hello(Who),
+    /// Heartbeat, with the sender's clock to be echoed.
+    Beat(Millis),
+    /// A call under the entry's number for it.
+    Call(u64, Call),
+    Report(Report),
+    Peer(Message),
+}
+
+/// From a control instance to the process that opened the session.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Down {
+    /// Whether this instance leads, in which term, and all instances' addresses.
+    Status {
+        leads: bool,
+        term: Term,
+        members: Vec<u64>,
+    },
+    /// Echo of a heartbeat. To an agent, while the instance holds its lease, it
+    /// grants the right to act until so long after the time in it.
+    Beat {
+        at: Millis,
+        grant: Option<Millis>,
+    },
+    Reply(u64, Reply),
+    Order(Order),
+    /// Ends up to this number of the backend server's life are on record.
+    Recorded {
+        life: u64,
+        upto: u64,
+    },
+}
+
+/// What a leader tells an agent to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Order {
+    Start {
+        life: u64,
+        task: TaskId,
+        run: Run,
+        payload: String,
+    },
+    Stop {
+        task: TaskId,
+        run: Run,
+    },
+}
+
+/// A backend server with its worker, as its agent knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// Number of its life, chosen by the agent; 0 is none.
+    pub life: u64,
+    /// Its own id.
+    pub id: String,
+    /// The service it belongs to.
+    pub service: String,
+    /// Its data centre.
+    pub place: String,
+    /// What its worker has.
+    pub capacity: Resources,
+    /// The worker's labels: its kind and its rack.
+    pub labels: Vec<String>,
+    /// True once it has said that it leaves.
+    pub leaving: bool,
+}
+
+/// What an agent reports.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Report {
+    /// All that the agent knows, after a look at the backend server under the
+    /// leader's own term. `server` is `None` while there is none to use.
+    Inventory {
+        term: Term,
+        server: Option<Server>,
+        runs: Vec<(TaskId, Run)>,
+    },
+    /// The backend server's state has changed.
+    Server(Option<Server>),
+    /// A start was answered with yes.
+    Started(TaskId, Run),
+    /// The run never started and never will.
+    NotStarted {
+        task: TaskId,
+        run: Run,
+        reason: Denial,
+    },
+    /// Ends, each with its number within the backend server's life.
+    Ends {
+        life: u64,
+        ends: Vec<(u64, End)>,
+    },
+    /// Progress of runs, in percent.
+    Progress(Vec<(TaskId, Run, u32)>),
+}
+
+/// Why a run was not started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Denial {
+    /// The worker has no room.
+    Room,
+    /// The backend server is unhealthy or did not answer.
+    Unwell,
+    /// The agent may not start now: leaving server, lapsed grant, another life.
+    Closed,
+    /// The backend server found the run or the order too old.
+    Stale,
+}
--- a/src/events.rs
+++ b/src/events.rs
@@ -65,6 +65,62 @@
     ANNOUNCED = 500 Info "announced";
     /// A task failed at its backend server.
     TASK_FAILED = 501 Warn "task-failed";
+    /// An agent knows a new state of its backend server.
+    SERVER = 502 Info "server";
+    /// A backend server's life is over.
+    SERVER_LOST = 503 Warn "server-lost";
+    /// An agent has a session with the leader.
+    LEADER_FOUND = 504 Info "leader-found";
+    /// An agent or a backend server refused to start a run.
+    START_DENIED = 505 Info "start-denied";
+    /// A start got no answer.
+    START_UNANSWERED = 506 Warn "start-unanswered";
+    /// A backend server's lease ran out without an answer.
+    LEASE_LAPSED = 507 Warn "lease-lapsed";
+    /// A leader took all open jobs up.
+    TAKE_OVER = 600 Info "take-over";
+    /// Agents that no longer can hold runs were not heard.
+    NOT_HEARD = 601 Warn "not-heard";
+    /// A job ended.
+    JOB_ENDED = 602 Info "job-ended";
+    /// The leader lost an agent's session.
+    AGENT_LOST = 603 Warn "agent-lost";
+    /// An agent's inventory came.
+    INVENTORY = 604 Info "inventory";
+    /// A silent worker counts as empty.
+    WORKER_EMPTY = 605 Warn "worker-empty";
+    /// A run was ordered and did not start.
+    NOT_STARTED = 606 Info "not-started";
+    /// A run ended otherwise than with success.
+    RUN_ENDED = 607 Info "run-ended";
+    /// A run was stopped because it is slow.
+    RUN_SLOW = 608 Info "run-slow";
+    /// A run was ordered.
+    ORDERED = 609 Info "ordered";
+    /// A job is accepted and stored.
+    ACCEPTED = 610 Info "accepted";
+    /// A job was refused; nothing of it has run.
+    REFUSED = 611 Info "refused";
+    /// A caller cancelled a job.
+    CANCELLED = 612 Info "cancelled";
+    /// A data centre is taken out or back in.
+    EVACUATE = 613 Info "evacuate";
+    /// A configuration was decided on.
+    SETUP = 614 Info "setup";
+    /// The log was replaced by a snapshot.
+    SNAPSHOT = 615 Info "snapshot";
+    /// An entry gave a call up at its deadline.
+    CALL_EXPIRED = 616 Warn "call-expired";
+    /// A session with another process is up.
+    SESSION_UP = 617 Info "session-up";
+    /// A session with another process is gone.
+    SESSION_DOWN = 618 Info "session-down";
+    /// A settings file was read again.
+    RELOADED = 619 Info "reloaded";
+    /// A call could not be understood.
+    BAD_CALL = 620 Info "bad-call";
+    /// Log lines were dropped since the last such line.
+    LOG_DROPPED = 621 Warn "log-dropped";
     /// A promise was broken in the demonstration.
     BROKEN = 900 Error "promise-broken";
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 mod config;
 mod control;
 mod core;
+mod dispatch;
 mod events;
 mod load;
+mod node;
 mod proto;
 mod shell;
 mod store;
@@ -58,8 +60,22 @@
     Admission, Dispatch, Fate, Lease, NotRun, TaskEvent, TaskState, Verdict,
 };
 pub use crate::core::table::Table;
+pub use crate::dispatch::agent::{
+    AgentTimes, Beat, CallId, Lists, ServerCall, ServerCallKind, ServerReply,
+};
+pub use crate::dispatch::call::{Call, Reply as CallReply, Want};
+pub use crate::dispatch::replica::ReplicaTimes;
+pub use crate::dispatch::spec::{
+    Ending, JobId, JobSpec, Queue, Resources, Run, Setup, State, Step, TaskId, Terms,
+};
+pub use crate::dispatch::wire::{Denial, Server};
 pub use crate::events::{EVENTS, Event};
 pub use crate::load::shape::{Fleet, JobPlan, Shape, TaskPlan};
+pub use crate::node::address::{replica_address, replica_id};
+pub use crate::node::agent::AgentNode;
+pub use crate::node::control::{ControlNode, ControlNodeConfig, ControlStartError, stop_within};
+pub use crate::node::entry::EntryNode;
+pub use crate::node::output::start_output;
 pub use crate::shell::stand_in::StandInCounts;
 pub use crate::store::folder::Folder;
 pub use crate::store::frame::{FrameError, Frames, decode_records, encode_record};
--- /dev/null
+++ b/src/node/address.rs
@@ -0,0 +1,29 @@
+//! Replicas are numbered by their address, so that a number leads to it.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use crate::control::log::ReplicaId;
+
+/// Bits of a port.
+const PORT_BITS: u32 = 16;
+
+/// The number of the replica at an address.
+///
+/// ```
+/// use fulmardrift::{replica_address, replica_id};
+/// let address = "10.1.0.17:7720".parse().unwrap();
+/// assert_eq!(replica_address(replica_id(address)), address);
+/// ```
+#[must_use]
+pub fn replica_id(address: SocketAddrV4) -> ReplicaId {
+    let ip = u64::from(u32::from(*address.ip()));
+    ReplicaId((ip << PORT_BITS) | u64::from(address.port()))
+}
+
+/// The address of a replica.
+#[must_use]
+pub fn replica_address(id: ReplicaId) -> SocketAddrV4 {
+    let port = u16::try_from(id.0 & u64::from(u16::MAX)).unwrap_or_default();
+    let ip = u32::try_from(id.0 >> PORT_BITS).unwrap_or_default();
+    SocketAddrV4::new(Ipv4Addr::from(ip), port)
+}
--- /dev/null
+++ b/src/node/agent.rs
@@ -0,0 +1,152 @@
+//! An agent as a process.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::link::LinkEvent;
+use super::links::{Links, News};
+use crate::dispatch::agent::{
+    Agent, AgentInput, AgentOutput, AgentTimes, Beat, CallId, ServerCall, ServerReply,
+};
+use crate::dispatch::wire::{Down, Up, Who};
+use crate::events;
+use crate::shell::clock::Clock;
+
+/// How often an agent looks at the time.
+const TICK: Duration = Duration::from_millis(20);
+/// Events waiting.
+const EVENTS: usize = 4_096;
+
+#[derive(Debug)]
+enum Event {
+    Input(AgentInput),
+    Seeds(Vec<SocketAddrV4>),
+}
+
+/// A running agent.
+#[derive(Debug, Clone)]
+pub struct AgentNode {
+    tx: mpsc::Sender<Event>,
+}
+
+impl AgentNode {
+    /// Starts an agent on the current runtime. Calls to the backend server come
+    /// out of the receiver; each is to be answered with [`AgentNode::replied`].
+    #[must_use]
+    pub fn start(
+        name: &str,
+        seeds: Vec<SocketAddrV4>,
+        times: AgentTimes,
+    ) -> (Self, mpsc::Receiver<ServerCall>) {
+        let clock = Clock::new();
+        let (link_tx, link_rx) = mpsc::channel(EVENTS);
+        let (tx, rx) = mpsc::channel(EVENTS);
+        let (call_tx, call_rx) = mpsc::channel(EVENTS);
+        let actor = Actor {
+            agent: Agent::new(times),
+            links: Links::new(Who::Agent(name.to_owned()), clock, seeds, link_tx),
+            clock,
+            calls: call_tx,
+        };
+        tokio::spawn(actor.run(rx, link_rx));
+        events::STARTED.log(format_args!("agent name={name}"));
+        (Self { tx }, call_rx)
+    }
+
+    async fn input(&self, input: AgentInput) {
+        if self.tx.send(Event::Input(input)).await.is_err() {
+            log::debug!("the agent has stopped");
+        }
+    }
+
+    /// The backend server announces itself.
+    pub async fn beat(&self, beat: Beat) {
+        self.input(AgentInput::Beat(beat)).await;
+    }
+
+    /// The backend server with this id leaves now.
+    pub async fn left(&self, id: String) {
+        self.input(AgentInput::Left(id)).await;
+    }
+
+    /// The backend server answered a call, or did not.
+    pub async fn replied(&self, id: CallId, reply: ServerReply) {
+        self.input(AgentInput::Replied(id, reply)).await;
+    }
+
+    /// Takes other seeds.
+    pub async fn set_seeds(&self, seeds: Vec<SocketAddrV4>) {
+        if self.tx.send(Event::Seeds(seeds)).await.is_err() {
+            log::debug!("the agent has stopped");
+        }
+    }
+}
+
+struct Actor {
+    agent: Agent,
+    links: Links,
+    clock: Clock,
+    calls: mpsc::Sender<ServerCall>,
+}
+
+impl Actor {
+    async fn run(mut self, mut rx: mpsc::Receiver<Event>, mut links: mpsc::Receiver<LinkEvent>) {
+        let mut ticker = interval(TICK);
+        ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut out = Vec::new();
+        loop {
+            let input = tokio::select! {
+                event = rx.recv() => match event {
+                    Some(Event::Input(input)) => Some(input),
+                    Some(Event::Seeds(seeds)) => {
+                        self.links.set_seeds(seeds);
+                        None
+                    }
+                    None => return,
+                },
+                Some(event) = links.recv() => self.take_link(event),
+                _ = ticker.tick() => Some(AgentInput::Tick),
+            };
+            if let Some(input) = input {
+                self.agent.step(self.clock.now(), input, &mut out);
+            }
+            for output in out.drain(..) {
+                self.put(output).await;
+            }
+        }
+    }
+
+    fn take_link(&mut self, event: LinkEvent) -> Option<AgentInput> {
+        match self.links.take(event) {
+            News::Quiet => None,
+            News::Leader(None) => Some(AgentInput::NoLeader),
+            News::Leader(Some((_, term))) => Some(AgentInput::Leader(term)),
+            // Only the leader's word counts.
+            News::Message(id, _) if self.links.leader() != Some(id) => None,
+            News::Message(_, down) => match down {
+                Down::Beat { at, grant } => grant.map(|grant| AgentInput::Granted(at + grant)),
+                Down::Order(order) => Some(AgentInput::Order(order)),
+                Down::Recorded { life, upto } => Some(AgentInput::Recorded { life, upto }),
+                Down::Status { .. } | Down::Reply(..) => None,
+            },
+        }
+    }
+
+    async fn put(&mut self, output: AgentOutput) {
+        match output {
+            AgentOutput::Call(call) => {
+                if self.calls.send(call).await.is_err() {
+                    log::debug!("nobody takes calls to the backend server");
+                }
+            }
+            AgentOutput::Report(report) => {
+                if let Some(leader) = self.links.leader() {
+                    self.links.send(leader, Up::Report(report));
+                }
+            }
+        }
+    }
+}
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -1,29 +1,39 @@
 //! The process's clocks.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::core::clock::Millis;
 
-/// Monotonic time since the process's start, and wall-clock time.
+/// Time since the process's start, and wall-clock time.
+///
+/// It counts the time in which the machine is suspended, so that a process that
+/// wakes up finds its leases run out.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Clock {
-    start: Instant,
+    start: u64,
 }
 
 impl Clock {
     pub(crate) fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot_millis() }
     }
 
     /// Time since the start, plus one so that no reading is zero.
     pub(crate) fn now(&self) -> Millis {
-        let ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
-        Millis(ms.saturating_add(1))
+        Millis(boot_millis().saturating_sub(self.start).saturating_add(1))
     }
 }
 
+/// Milliseconds since the machine started, suspensions included.
+fn boot_millis() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    seconds * 1_000 + nanos / 1_000_000
+}
+
 /// Wall-clock time since the Unix epoch.
 pub(crate) fn wall() -> Millis {
     let since = SystemTime::now()
--- a/src/shell/control.rs
+++ b/src/shell/control.rs
@@ -14,7 +14,7 @@
 use super::peers::Peers;
 use super::stop::{self, Stop, Stopper};
 use super::{admin, control_rpc};
-use crate::control::log::{DiskId, Record, ReplicaId};
+use crate::control::log::{DiskId, ReplicaId};
 use crate::control::raft::{Raft, RaftInput, RaftOutput, RaftTiming};
 use crate::control::server::{
     Control, ControlAnswer, ControlError, ControlInput, ControlOutput, Token,
@@ -24,6 +24,7 @@
 use crate::events;
 use crate::store::folder::Folder;
 use crate::store::wal::{Wal, WalError};
+use crate::store::writer::{Batch, start_writer};
 
 /// How often an instance looks at the time.
 const TICK: Duration = Duration::from_millis(20);
@@ -153,7 +154,11 @@
         let (tx, rx) = mpsc::channel(CALLS);
         let handle = ControlHandle { tx };
         let (stopper, stop) = stop::pair();
-        let writer = start_writer(wal, handle.clone());
+        let synced = handle.clone();
+        let writer = start_writer(wal, move |input| {
+            let call = Call::Input(ControlInput::Raft(input));
+            synced.tx.blocking_send(call).is_ok()
+        });
         let heard = Arc::new(Heard::new(&others));
         let actor = Actor {
             control,
@@ -223,39 +228,6 @@
     }
 }
 
-struct Batch {
-    number: u64,
-    records: Vec<Record>,
-}
-
-/// Starts the thread that writes and syncs; one sync serves all that is waiting.
-fn start_writer(mut wal: Wal<Folder>, handle: ControlHandle) -> std::sync::mpsc::Sender<Batch> {
-    let (tx, rx) = std::sync::mpsc::channel::<Batch>();
-    std::thread::spawn(move || {
-        while let Ok(first) = rx.recv() {
-            let mut number = first.number;
-            let mut records = first.records;
-            while let Ok(next) = rx.try_recv() {
-                number = next.number;
-                records.extend(next.records);
-            }
-            let input = match wal.write(&records) {
-                Ok(()) => RaftInput::Synced(number),
-                Err(error) => {
-                    events::LOG_FAILED.log(format_args!("{error}"));
-                    // Nothing more is acknowledged; let another lead.
-                    RaftInput::Stop
-                }
-            };
-            let call = Call::Input(ControlInput::Raft(input));
-            if handle.tx.blocking_send(call).is_err() {
-                return;
-            }
-        }
-    });
-    tx
-}
-
 struct Actor {
     control: Control,
     clock: Clock,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,3 +3,4 @@
 pub(crate) mod folder;
 pub(crate) mod frame;
 pub(crate) mod wal;
+pub(crate) mod writer;
