--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -348,7 +348,14 @@
             return;
         }
         let unknown = |v: &&Voter| v.id != self.id && !self.peers.contains(&v.id);
-        let met: Vec<_> = self.log.voters().0.iter().filter(unknown).map(|v| v.id).collect();
+        let met: Vec<_> = self
+            .log
+            .voters()
+            .0
+            .iter()
+            .filter(unknown)
+            .map(|v| v.id)
+            .collect();
         for peer in met {
             self.meet(now, peer);
         }
--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -191,7 +191,12 @@
 enum Pending {
     Start(TaskId, Run),
     Stop(TaskId, Run),
-    Hold { sent: Millis, life: u64, term: Term, extends: bool },
+    Hold {
+        sent: Millis,
+        life: u64,
+        term: Term,
+        extends: bool,
+    },
 }
 
 /// One agent.
@@ -275,7 +280,8 @@
         let life = beat.born.unwrap_or(1).max(1);
         if let Some(known) = &self.server {
             let late = life < known.life;
-            let repeated = life == known.life && known.id == beat.id && beat.sequence <= self.sequence;
+            let repeated =
+                life == known.life && known.id == beat.id && beat.sequence <= self.sequence;
             if late || repeated {
                 return;
             }
@@ -360,7 +366,10 @@
         self.told = true;
         if !self.ends.is_empty() {
             let ends = self.ends.clone();
-            out.push(AgentOutput::Report(Report::Ends { life: self.life(), ends }));
+            out.push(AgentOutput::Report(Report::Ends {
+                life: self.life(),
+                ends,
+            }));
         }
         out.push(AgentOutput::Report(Report::Inventory {
             term: self.term,
@@ -395,7 +404,10 @@
         payload: String,
         out: &mut Vec<AgentOutput>,
     ) {
-        let usable = self.server.as_ref().is_some_and(|s| s.life == life && !s.leaving);
+        let usable = self
+            .server
+            .as_ref()
+            .is_some_and(|s| s.life == life && !s.leaving);
         let until = self.lease_end(now);
         let (true, Some(until)) = (usable && self.told, until) else {
             events::START_DENIED.log(format_args!(
@@ -403,7 +415,11 @@
                 run.0, self.granted.0, now.0
             ));
             let reason = Denial::Closed;
-            out.push(AgentOutput::Report(Report::NotStarted { task, run, reason }));
+            out.push(AgentOutput::Report(Report::NotStarted {
+                task,
+                run,
+                reason,
+            }));
             return;
         };
         let held = Held {
@@ -441,7 +457,11 @@
     }
 
     fn call_stop(&mut self, task: TaskId, run: Run, out: &mut Vec<AgentOutput>) {
-        self.call(Pending::Stop(task, run), ServerCallKind::Stop { task, run }, out);
+        self.call(
+            Pending::Stop(task, run),
+            ServerCallKind::Stop { task, run },
+            out,
+        );
     }
 
     fn call(&mut self, pending: Pending, kind: ServerCallKind, out: &mut Vec<AgentOutput>) {
@@ -493,7 +513,13 @@
         }
     }
 
-    fn on_reply(&mut self, now: Millis, id: CallId, reply: ServerReply, out: &mut Vec<AgentOutput>) {
+    fn on_reply(
+        &mut self,
+        now: Millis,
+        id: CallId,
+        reply: ServerReply,
+        out: &mut Vec<AgentOutput>,
+    ) {
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
@@ -544,7 +570,10 @@
             ServerReply::Denied(reason) => {
                 let reason = *reason;
                 self.runs.remove(&key);
-                events::START_DENIED.log(format_args!("task={task} run={} by=server reason={reason:?}", run.0));
+                events::START_DENIED.log(format_args!(
+                    "task={task} run={} by=server reason={reason:?}",
+                    run.0
+                ));
                 self.report(Report::NotStarted { task, run, reason }, out);
             }
             ServerReply::OtherLife => {
@@ -583,7 +612,10 @@
             self.next_hold = now + HOLD_RETRY;
             return;
         };
-        if lists.born.is_some_and(|born| born != self.life() && self.life() > 1) {
+        if lists
+            .born
+            .is_some_and(|born| born != self.life() && self.life() > 1)
+        {
             self.lose_server("another life answered", out);
             return;
         }
@@ -601,7 +633,11 @@
     }
 
     /// Takes new ends; true when there were any.
-    fn take_ends(&mut self, ended: &[(u64, TaskId, Run, Ending)], out: &mut Vec<AgentOutput>) -> bool {
+    fn take_ends(
+        &mut self,
+        ended: &[(u64, TaskId, Run, Ending)],
+        out: &mut Vec<AgentOutput>,
+    ) -> bool {
         let mut news = Vec::new();
         for (number, task, run, how) in ended {
             if *number <= self.known_end {
@@ -655,7 +691,12 @@
     }
 
     /// Settles the runs that a look, begun at `sent`, did not list.
-    fn take_missing(&mut self, sent: Millis, running: &[(TaskId, Run, u32)], out: &mut Vec<AgentOutput>) {
+    fn take_missing(
+        &mut self,
+        sent: Millis,
+        running: &[(TaskId, Run, u32)],
+        out: &mut Vec<AgentOutput>,
+    ) {
         let mut seal = Vec::new();
         let mut never = Vec::new();
         for (key, held) in self.runs.iter() {
@@ -680,7 +721,10 @@
         for (task, run) in never {
             self.runs.remove(&(task, run));
             let reason = Denial::Unwell;
-            events::START_DENIED.log(format_args!("task={task} run={} by=agent reason=not-listed", run.0));
+            events::START_DENIED.log(format_args!(
+                "task={task} run={} by=agent reason=not-listed",
+                run.0
+            ));
             self.report(Report::NotStarted { task, run, reason }, out);
         }
     }
@@ -691,7 +735,11 @@
         }
         if !self.runs.is_empty() && now > self.leased {
             // Nothing can run there any more; its ends are listed when it answers.
-            events::LEASE_LAPSED.log(format_args!("life={} runs={}", self.life(), self.runs.len()));
+            events::LEASE_LAPSED.log(format_args!(
+                "life={} runs={}",
+                self.life(),
+                self.runs.len()
+            ));
             self.runs = Table::default();
             self.told = false;
             if self.linked {
@@ -703,12 +751,17 @@
             }
         }
         if self.holding == 0 && now >= self.next_hold {
-            let wait = if self.ends.is_empty() && self.told { HOLD_WAIT } else { Millis(0) };
+            let wait = if self.ends.is_empty() && self.told {
+                HOLD_WAIT
+            } else {
+                Millis(0)
+            };
             self.look(now, wait, out);
         }
-        let overdue = self.runs.iter().filter(|(_, h)| {
-            h.phase == Phase::Stopping && now.since(h.at) >= STOP_RETRY
-        });
+        let overdue = self
+            .runs
+            .iter()
+            .filter(|(_, h)| h.phase == Phase::Stopping && now.since(h.at) >= STOP_RETRY);
         let overdue: Vec<_> = overdue.map(|(key, _)| *key).collect();
         for key in overdue {
             if let Some(held) = self.runs.get_mut(&key) {
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -1,8 +1,10 @@
 //! The replicated state: configuration, evacuations, and the jobs' durable part.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
-use super::spec::{Ending, JobId, JobSpec, Run, Setup, State, Step, TaskId, Terms};
+use super::spec::{Ending, JobId, JobSpec, Plan, Run, Setup, State, Step, TaskId, Terms};
 use crate::core::table::Table;
 
 /// A change of the replicated state, as it stands in the log.
@@ -48,23 +50,24 @@
 /// A job that has not ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct OpenJob {
-    pub(crate) terms: Terms,
-    pub(crate) payload: String,
-    pub(crate) steps: Vec<Step>,
+    pub(crate) plan: Arc<Plan>,
     /// The tasks of each step.
     pub(crate) tasks: Vec<Vec<TaskBook>>,
 }
 
 impl OpenJob {
-    /// True when all tasks of the steps that `step` waits for have ended.
-    pub(crate) fn is_due(&self, step: usize) -> bool {
-        let Some(spec) = self.steps.get(step) else {
-            return false;
+    pub(crate) fn new(terms: Terms, spec: JobSpec) -> Self {
+        let book = |step: &Step| vec![TaskBook::default(); step.count as usize];
+        let tasks = spec.steps.iter().map(book).collect();
+        let plan = Plan {
+            terms,
+            payload: spec.payload,
+            steps: spec.steps,
         };
-        spec.after.iter().all(|before| {
-            let tasks = usize::try_from(*before).ok().and_then(|b| self.tasks.get(b));
-            tasks.is_some_and(|tasks| tasks.iter().all(|t| t.done))
-        })
+        Self {
+            plan: Arc::new(plan),
+            tasks,
+        }
     }
 
     fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskBook> {
@@ -90,11 +93,9 @@
 /// What applying an entry changed, for the leader to act on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Change {
-    /// Nothing of interest.
-    None,
     /// A job is new.
     Accepted(JobId),
-    /// A task ended, its job goes on.
+    /// The end of a run is on record, whether its job is still open or not.
     TaskEnded(End),
     /// A job ended.
     Ended(JobId, State),
@@ -118,7 +119,11 @@
     pub(crate) fn apply(&mut self, entry: Entry, changes: &mut Vec<Change>) {
         match entry {
             Entry::Setup(setup) => {
-                if self.setup.as_ref().is_none_or(|s| s.version < setup.version) {
+                if self
+                    .setup
+                    .as_ref()
+                    .is_none_or(|s| s.version < setup.version)
+                {
                     self.setup = Some(setup);
                 }
             }
@@ -150,13 +155,7 @@
         if self.jobs.get(&id).is_some() {
             return;
         }
-        let book = |step: &Step| vec![TaskBook::default(); step.count as usize];
-        let job = OpenJob {
-            terms,
-            payload: spec.payload,
-            tasks: spec.steps.iter().map(book).collect(),
-            steps: spec.steps,
-        };
+        let job = OpenJob::new(terms, spec);
         let empty = job.tasks.iter().all(Vec::is_empty);
         self.jobs.insert(id, Job::Open(Box::new(job)));
         changes.push(Change::Accepted(id));
@@ -167,10 +166,11 @@
 
     fn take_end(&mut self, end: End, changes: &mut Vec<Change>) {
         let id = end.task.job;
+        changes.push(Change::TaskEnded(end));
         let Some(Job::Open(job)) = self.jobs.get_mut(&id) else {
             return;
         };
-        let attempts = job.terms.attempts;
+        let attempts = job.plan.terms.attempts;
         let Some(task) = job.task_mut(end.task) else {
             return;
         };
@@ -181,7 +181,6 @@
         }
         let failed = task.fails >= attempts && !task.done;
         let done = job.tasks.iter().flatten().all(|t| t.done);
-        changes.push(Change::TaskEnded(end));
         if done {
             self.end(id, State::Completed, changes);
         } else if failed {
--- a/src/dispatch/entry.rs
+++ b/src/dispatch/entry.rs
@@ -27,6 +27,8 @@
     /// The link to the leader, if there is one.
     Leader(Option<LinkId>),
     Reply(u64, Reply),
+    /// The caller has left.
+    Left(u64),
     Tick,
 }
 
@@ -34,6 +36,8 @@
 #[derive(Debug, PartialEq)]
 pub(crate) enum DeskOutput {
     Send(LinkId, u64, Call),
+    /// Nobody waits for this call's answer any more.
+    Drop(LinkId, u64),
     Answer(u64, Reply),
 }
 
@@ -84,6 +88,14 @@
                 }
             }
             DeskInput::Reply(token, reply) => self.on_reply(now, token, reply, out),
+            DeskInput::Left(token) => {
+                if let Some(Open {
+                    sent: Some(link), ..
+                }) = self.open.remove(&token)
+                {
+                    out.push(DeskOutput::Drop(link, token));
+                }
+            }
             DeskInput::Tick => {
                 self.expire(now, out);
                 self.send(now, out);
@@ -124,7 +136,12 @@
         let due = self.open.iter().filter(|(_, open)| now >= open.deadline);
         let due: Vec<_> = due.map(|(token, open)| (*token, open.risked)).collect();
         for (token, risked) in due {
-            self.open.remove(&token);
+            if let Some(Open {
+                sent: Some(link), ..
+            }) = self.open.remove(&token)
+            {
+                out.push(DeskOutput::Drop(link, token));
+            }
             events::CALL_EXPIRED.log(format_args!(
                 "call={token} sent={risked} leader={:?}",
                 self.leader
--- a/src/dispatch/leader.rs
+++ b/src/dispatch/leader.rs
@@ -1,8 +1,8 @@
 //! The leader's dispatching: which task starts where, and what becomes of it.
 
 use super::book::{Book, Change, End, Entry, Job, OpenJob};
-use super::live::{LiveJob, LiveTask, Phase, Rank};
-use super::spec::{Ending, JobId, Resources, Run, State, TaskId};
+use super::live::{LiveJob, Phase, Rank};
+use super::spec::{Ending, JobId, Plan, Resources, Run, State, TaskId, Terms};
 use super::wire::{Denial, Down, Order, Report, Server};
 use super::worker::{Placed, SessionId, Worker, WorkerId};
 use crate::control::log::Term;
@@ -35,6 +35,9 @@
 const RATIO_WEIGHT: f64 = 0.05;
 /// Data elsewhere makes a task so much slower, for placement.
 const OTHER_RACK: f64 = 1.5;
+/// A run whose job nobody has submitted to this leader is stopped after this time:
+/// callers submit again a little earlier.
+const ORPHAN_AFTER: Millis = Millis(1_500);
 /// An agent that has been gone so long is no longer waited for at a take-over.
 const DISMISS_AFTER: Millis = Millis(60_000);
 
@@ -43,6 +46,8 @@
 pub(crate) enum LeaderOutput {
     Propose(Entry),
     Down(SessionId, Down),
+    /// A job that is not stored has ended.
+    Ended(JobId, State),
 }
 
 /// The dispatcher of one leadership.
@@ -91,7 +96,9 @@
         for (id, job) in book.jobs.iter() {
             match job {
                 Job::Open(job) => {
-                    leader.jobs.insert(*id, LiveJob::new(job, now, Phase::Unknown));
+                    leader
+                        .jobs
+                        .insert(*id, LiveJob::new(job, now, Phase::Unknown, false));
                 }
                 Job::Ended(_) => leader.ended.push((now, *id)),
             }
@@ -152,9 +159,13 @@
         self.waiting.insert(at, row);
     }
 
-    /// The jobs that have not ended.
-    pub(crate) fn open(&self) -> impl Iterator<Item = &JobId> {
-        self.jobs.iter().map(|(id, _)| id)
+    /// Number of jobs with these terms of which no task has started.
+    pub(crate) fn count_pending(&self, terms: &Terms) -> u64 {
+        let waiting = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.started && j.plan.terms == *terms);
+        waiting.count() as u64
     }
 
     /// True once a task of the job has started, as far as this leader knows.
@@ -171,10 +182,10 @@
         out: &mut Vec<LeaderOutput>,
     ) {
         match change {
-            Change::None => {}
             Change::Accepted(id) => {
                 if let Some(job) = book.open(*id) {
-                    self.jobs.insert(*id, LiveJob::new(job, now, Phase::Ready));
+                    self.jobs
+                        .insert(*id, LiveJob::new(job, now, Phase::Ready, false));
                     self.queue(now, *id);
                 }
             }
@@ -189,7 +200,10 @@
                 tell_recorded(worker, out);
             }
         }
-        let done = book.open(end.task.job).and_then(|j| j.task(end.task)).is_none_or(|t| t.done);
+        let done = book
+            .open(end.task.job)
+            .and_then(|j| j.task(end.task))
+            .is_none_or(|t| t.done);
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
         };
@@ -207,6 +221,17 @@
 
     fn on_ended(&mut self, now: Millis, id: JobId, state: State, out: &mut Vec<LeaderOutput>) {
         self.ended.push((now, id));
+        self.drop_job(now, id, Some(state), out);
+    }
+
+    /// Forgets a job, and stops what still runs of it.
+    fn drop_job(
+        &mut self,
+        now: Millis,
+        id: JobId,
+        state: Option<State>,
+        out: &mut Vec<LeaderOutput>,
+    ) {
         self.waiting.retain(|(_, known)| *known != id);
         let job = self.jobs.remove(&id);
         let age = job.map_or(Millis(0), |j| now.since(j.since));
@@ -218,13 +243,55 @@
             for ((task, run), placed) in worker.runs.iter_mut() {
                 if task.job == id && !placed.stopping {
                     placed.stopping = true;
-                    let order = Order::Stop { task: *task, run: *run };
+                    let order = Order::Stop {
+                        task: *task,
+                        run: *run,
+                    };
                     out.push(LeaderOutput::Down(session, Down::Order(order)));
                 }
             }
         }
     }
 
+    /// Takes a job that is not stored. What a former life of it left running is
+    /// taken over.
+    pub(crate) fn submit_loose(&mut self, now: Millis, id: JobId, job: &OpenJob) {
+        let phase = if self.awaited.is_empty() {
+            Phase::Ready
+        } else {
+            Phase::Unknown
+        };
+        let mut live = LiveJob::new(job, now, phase, true);
+        for (at, worker) in self.workers.iter_mut().enumerate() {
+            for ((task, run), placed) in worker.runs.iter_mut() {
+                if task.job != id {
+                    continue;
+                }
+                if let Some(known) = live.task_mut(*task)
+                    && *run > known.run
+                {
+                    known.phase = Phase::On(WorkerId(at));
+                    known.run = *run;
+                    placed.need = live.need(*task);
+                }
+            }
+        }
+        self.jobs.insert(id, live);
+        self.queue(now, id);
+    }
+
+    /// Nobody waits for this job any more.
+    pub(crate) fn abandon(&mut self, now: Millis, id: JobId, out: &mut Vec<LeaderOutput>) {
+        if self.jobs.get(&id).is_some_and(|j| j.loose) {
+            self.drop_job(now, id, None, out);
+        }
+    }
+
+    /// True while a job is open here.
+    pub(crate) fn holds(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some()
+    }
+
     /// An agent's session is up.
     pub(crate) fn connected(&mut self, now: Millis, agent: &str, session: SessionId) {
         let id = self.worker_id(now, agent);
@@ -246,7 +313,10 @@
     }
 
     fn by_session(&mut self, session: SessionId) -> Option<WorkerId> {
-        let at = self.workers.iter().position(|w| w.session == Some(session))?;
+        let at = self
+            .workers
+            .iter()
+            .position(|w| w.session == Some(session))?;
         Some(WorkerId(at))
     }
 
@@ -304,7 +374,7 @@
             Report::NotStarted { task, run, reason } => {
                 self.on_not_started(now, id, (task, run), reason);
             }
-            Report::Ends { life, ends } => self.on_ends(now, book, id, life, &ends, out),
+            Report::Ends { life, ends } => self.on_ends(now, id, life, &ends, out),
             Report::Progress(rows) => {
                 for (task, run, percent) in rows {
                     if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
@@ -331,7 +401,12 @@
             worker.server = server;
         }
         worker.ready = true;
-        let gone: Vec<_> = worker.runs.iter().map(|(key, _)| *key).filter(|k| !runs.contains(k)).collect();
+        let gone: Vec<_> = worker
+            .runs
+            .iter()
+            .map(|(key, _)| *key)
+            .filter(|k| !runs.contains(k))
+            .collect();
         events::INVENTORY.log(format_args!(
             "agent={} life={} runs={} gone={}",
             worker.agent,
@@ -379,9 +454,12 @@
         if self.workers[id.0].runs.get(&(task, run)).is_some() {
             return;
         }
-        let need = book.open(task.job).map_or(Resources::default(), |j| need(j, task));
+        let job = self.jobs.get(&task.job);
+        let need = job.map_or(Resources::default(), |j| j.need(task));
+        let estimate = job.map_or(Millis(0), |j| j.estimate(task));
         let live = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
-        let mut wanted = false;
+        // Of a job that is not here yet: its caller may submit it again.
+        let mut wanted = live.is_none() && book.jobs.get(&task.job).is_none();
         if let Some(live) = live
             && live.phase == Phase::Unknown
         {
@@ -389,7 +467,6 @@
             live.run = run;
             wanted = true;
         }
-        let estimate = book.open(task.job).map_or(Millis(0), |j| estimate(j, task));
         let placed = Placed {
             need,
             ordered: now,
@@ -402,7 +479,10 @@
         let worker = &mut self.workers[id.0];
         worker.put((task, run), placed);
         if let (false, Some(session)) = (wanted, worker.session) {
-            out.push(LeaderOutput::Down(session, Down::Order(Order::Stop { task, run })));
+            out.push(LeaderOutput::Down(
+                session,
+                Down::Order(Order::Stop { task, run }),
+            ));
         }
     }
 
@@ -424,7 +504,11 @@
 
     /// Nothing runs on this worker any more.
     fn empty(&mut self, now: Millis, id: WorkerId) {
-        let keys: Vec<_> = self.workers[id.0].runs.iter().map(|(key, _)| *key).collect();
+        let keys: Vec<_> = self.workers[id.0]
+            .runs
+            .iter()
+            .map(|(key, _)| *key)
+            .collect();
         if !keys.is_empty() {
             let agent = &self.workers[id.0].agent;
             events::WORKER_EMPTY.log(format_args!("agent={agent} runs={}", keys.len()));
@@ -451,7 +535,11 @@
         if reason == Denial::Unwell {
             self.workers[id.0].failed(now);
         }
-        if let Some(live) = self.jobs.get_mut(&key.0.job).and_then(|j| j.task_mut(key.0)) {
+        if let Some(live) = self
+            .jobs
+            .get_mut(&key.0.job)
+            .and_then(|j| j.task_mut(key.0))
+        {
             live.avoid = Some(id);
         }
         self.release(now, id, key);
@@ -460,7 +548,6 @@
     fn on_ends(
         &mut self,
         now: Millis,
-        book: &Book,
         id: WorkerId,
         life: u64,
         ends: &[(u64, End)],
@@ -479,7 +566,7 @@
                 continue;
             }
             self.workers[id.0].note_end(*number);
-            if self.take_end(now, book, id, end) {
+            if self.take_end(now, id, end, out) {
                 self.workers[id.0].await_record(*number, end);
                 record.push(*end);
             }
@@ -492,12 +579,18 @@
     }
 
     /// Takes an end; true when it must be recorded before it is forgotten.
-    fn take_end(&mut self, now: Millis, book: &Book, id: WorkerId, end: &End) -> bool {
+    fn take_end(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        end: &End,
+        out: &mut Vec<LeaderOutput>,
+    ) -> bool {
         let key = (end.task, end.run);
         let placed = self.workers[id.0].take(key);
         if let Some(placed) = &placed {
             match end.how {
-                Ending::Done => self.learn(now, book, id, end.task, placed),
+                Ending::Done => self.learn(now, id, end.task, placed),
                 Ending::Failed => self.workers[id.0].failed(now),
                 Ending::Lost => {}
             }
@@ -505,6 +598,7 @@
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return false;
         };
+        let loose = job.loose;
         let Some(live) = job.task_mut(end.task) else {
             return false;
         };
@@ -519,43 +613,45 @@
             ));
             live.avoid = Some(id);
         }
-        let record = match end.how {
-            Ending::Done | Ending::Failed => {
-                live.phase = Phase::Ending;
-                true
+        match end.how {
+            Ending::Done if loose => live.phase = Phase::Done,
+            Ending::Failed if loose => {
+                live.fails += 1;
+                live.phase = Phase::Ready;
             }
-            Ending::Lost => {
-                if current {
-                    live.phase = Phase::Ready;
-                }
-                false
-            }
-        };
+            Ending::Done | Ending::Failed => live.phase = Phase::Ending,
+            Ending::Lost if current => live.phase = Phase::Ready,
+            Ending::Lost => {}
+        }
         job.started = true;
-        if !record && current {
+        let recorded = !loose && end.how != Ending::Lost;
+        if loose && let Some(state) = job.outcome() {
+            self.drop_job(now, end.task.job, Some(state), out);
+            out.push(LeaderOutput::Ended(end.task.job, state));
+        } else if !recorded {
             self.queue(now, end.task.job);
         }
-        record
+        recorded
     }
 
-    fn learn(&mut self, now: Millis, book: &Book, id: WorkerId, task: TaskId, placed: &Placed) {
+    fn learn(&mut self, now: Millis, id: WorkerId, task: TaskId, placed: &Placed) {
         self.workers[id.0].succeeded(now, placed);
-        let Some(job) = book.open(task.job) else {
+        let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
         let Some(started) = placed.started else {
             return;
         };
-        let estimate = estimate(job, task).as_f64().max(1.0);
+        let estimate = job.estimate(task).as_f64().max(1.0);
         let pace = self.workers[id.0].pace.max(0.1);
         let seen = now.since(started).as_f64() / pace / estimate;
-        let key = (job.terms.service.clone(), job.terms.priority);
+        let key = (job.plan.terms.service.clone(), job.plan.terms.priority);
         let ratio = self.ratios.or_insert_with(key, || 1.0);
         *ratio += (seen.clamp(0.2, 5.0) - *ratio) * RATIO_WEIGHT;
     }
 
-    fn ratio(&self, job: &OpenJob) -> f64 {
-        let key = (job.terms.service.clone(), job.terms.priority);
+    fn ratio(&self, job: &LiveJob) -> f64 {
+        let key = (job.plan.terms.service.clone(), job.plan.terms.priority);
         self.ratios.get(&key).copied().unwrap_or(1.0)
     }
 
@@ -581,6 +677,7 @@
         if now.since(self.searched) >= SLOW_EVERY {
             self.searched = now;
             self.move_slow(now, out);
+            self.stop_orphans(now, out);
         }
         if now.since(self.ranked) >= RANK_EVERY {
             self.ranked = now;
@@ -607,6 +704,26 @@
         }
     }
 
+    /// Stops runs that a former leader ordered for jobs that did not come back.
+    fn stop_orphans(&mut self, now: Millis, out: &mut Vec<LeaderOutput>) {
+        for worker in &mut self.workers {
+            let Some(session) = worker.session else {
+                continue;
+            };
+            for ((task, run), placed) in worker.runs.iter_mut() {
+                let orphan = self.jobs.get(&task.job).is_none();
+                if orphan && !placed.stopping && now.since(placed.ordered) > ORPHAN_AFTER {
+                    placed.stopping = true;
+                    let order = Order::Stop {
+                        task: *task,
+                        run: *run,
+                    };
+                    out.push(LeaderOutput::Down(session, Down::Order(order)));
+                }
+            }
+        }
+    }
+
     /// Stops runs that stand still or crawl, so that they start elsewhere.
     fn move_slow(&mut self, now: Millis, out: &mut Vec<LeaderOutput>) {
         let mut slow = Vec::new();
@@ -642,7 +759,10 @@
                     now.since(placed.ordered).0
                 ));
             }
-            out.push(LeaderOutput::Down(session, Down::Order(Order::Stop { task, run })));
+            out.push(LeaderOutput::Down(
+                session,
+                Down::Order(Order::Stop { task, run }),
+            ));
         }
     }
 
@@ -655,11 +775,8 @@
         let mut left = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting).into_iter();
         for (rank, id) in waiting.by_ref() {
-            let Some(job) = book.open(id) else {
-                continue;
-            };
             let before = out.len();
-            if self.place_job(now, book, id, job, out) {
+            if self.place_job(now, book, id, out) {
                 continue;
             }
             left.push((rank, id));
@@ -681,20 +798,19 @@
         now: Millis,
         book: &Book,
         id: JobId,
-        job: &OpenJob,
         out: &mut Vec<LeaderOutput>,
     ) -> bool {
         let Some(mut live) = self.jobs.remove(&id) else {
             return true;
         };
         let mut whole = true;
-        for (step, tasks) in live.tasks.iter_mut().enumerate() {
-            let any = tasks.iter().any(|t| t.phase == Phase::Ready);
-            if !any || !job.is_due(step) {
+        for step in 0..live.tasks.len() {
+            let any = live.tasks[step].iter().any(|t| t.phase == Phase::Ready);
+            if !any || !live.is_due(step) {
                 continue;
             }
-            for (index, task) in tasks.iter_mut().enumerate() {
-                if task.phase != Phase::Ready {
+            for index in 0..live.tasks[step].len() {
+                if live.tasks[step][index].phase != Phase::Ready {
                     continue;
                 }
                 let key = TaskId {
@@ -702,7 +818,7 @@
                     step: u32::try_from(step).unwrap_or(u32::MAX),
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                 };
-                if !self.place_task(now, book, job, key, task, out) {
+                if !self.place_task(now, book, &mut live, key, out) {
                     whole = false;
                     break;
                 }
@@ -716,22 +832,24 @@
         &mut self,
         now: Millis,
         book: &Book,
-        job: &OpenJob,
+        job: &mut LiveJob,
         key: TaskId,
-        task: &mut LiveTask,
         out: &mut Vec<LeaderOutput>,
     ) -> bool {
-        let Some(id) = self.choose(now, book, job, key, task.avoid) else {
+        let avoid = job.task_mut(key).and_then(|t| t.avoid);
+        let Some(id) = self.choose(now, book, &job.plan, key, avoid) else {
             return false;
         };
         self.runs += 1;
         let run = Run((self.term.0 << RUN_BITS) + self.runs);
-        task.phase = Phase::On(id);
-        task.run = run;
-        let nominal = Millis(scale(estimate(job, key), self.ratio(job)));
+        if let Some(task) = job.task_mut(key) {
+            task.phase = Phase::On(id);
+            task.run = run;
+        }
+        let nominal = Millis(scale(job.estimate(key), self.ratio(job)));
         let worker = &mut self.workers[id.0];
         let placed = Placed {
-            need: need(job, key),
+            need: job.need(key),
             ordered: now,
             started: None,
             expected: Millis(scale(nominal, worker.pace)),
@@ -750,7 +868,7 @@
                 life,
                 task: key,
                 run,
-                payload: job.payload.clone(),
+                payload: job.plan.payload.clone(),
             };
             out.push(LeaderOutput::Down(session, Down::Order(order)));
         }
@@ -762,11 +880,11 @@
         &self,
         now: Millis,
         book: &Book,
-        job: &OpenJob,
+        plan: &Plan,
         key: TaskId,
         avoid: Option<WorkerId>,
     ) -> Option<WorkerId> {
-        let step = job.steps.get(usize::try_from(key.step).ok()?)?;
+        let step = plan.step(key)?;
         let mut best: Option<(f64, WorkerId)> = None;
         for (at, worker) in self.workers.iter().enumerate() {
             let Some(server) = worker.open(now) else {
@@ -774,15 +892,22 @@
             };
             let fits = server.capacity.fits(worker.used, step.need);
             let out = book.out.binary_search(&server.place).is_ok();
-            let labelled = step.label.as_ref().is_none_or(|l| server.labels.contains(l));
-            if !fits || out || !labelled || server.service != job.terms.service {
+            let labelled = step
+                .label
+                .as_ref()
+                .is_none_or(|l| server.labels.contains(l));
+            if !fits || out || !labelled || server.service != plan.terms.service {
                 continue;
             }
             if step.spread > 0 && worker.of_step(key) >= step.spread as usize {
                 continue;
             }
             let mut cost = worker.pace;
-            if step.rack.as_ref().is_some_and(|r| !server.labels.contains(r)) {
+            if step
+                .rack
+                .as_ref()
+                .is_some_and(|r| !server.labels.contains(r))
+            {
                 cost *= OTHER_RACK;
             }
             if avoid == Some(WorkerId(at)) {
@@ -822,16 +947,6 @@
     }
 }
 
-fn need(job: &OpenJob, task: TaskId) -> Resources {
-    let step = usize::try_from(task.step).ok().and_then(|s| job.steps.get(s));
-    step.map_or(Resources::default(), |s| s.need)
-}
-
-fn estimate(job: &OpenJob, task: TaskId) -> Millis {
-    let step = usize::try_from(task.step).ok().and_then(|s| job.steps.get(s));
-    step.map_or(Millis(0), |s| s.estimate)
-}
-
 /// A time multiplied; durations stay far below 2^53 ms.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn scale(time: Millis, by: f64) -> u64 {
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -1,7 +1,9 @@
 //! The leader's view of a job that has not ended.
 
+use std::sync::Arc;
+
 use super::book::OpenJob;
-use super::spec::{Run, TaskId};
+use super::spec::{Plan, Resources, Run, State, Step, TaskId};
 use super::worker::WorkerId;
 use crate::core::clock::Millis;
 
@@ -35,6 +37,8 @@
     pub(crate) avoid: Option<WorkerId>,
     /// Times it was moved for being slow.
     pub(crate) moves: u32,
+    /// Runs that failed.
+    pub(crate) fails: u32,
 }
 
 /// How urgent a job is; the least goes first.
@@ -51,6 +55,9 @@
 /// A job that has not ended.
 #[derive(Debug, Clone)]
 pub(crate) struct LiveJob {
+    pub(crate) plan: Arc<Plan>,
+    /// Not stored: its ends count as soon as they are known.
+    pub(crate) loose: bool,
     pub(crate) tasks: Vec<Vec<LiveTask>>,
     pub(crate) since: Millis,
     /// Some task has started.
@@ -63,7 +70,7 @@
 
 impl LiveJob {
     /// A job as this leader takes it up; `phase` is that of its unfinished tasks.
-    pub(crate) fn new(job: &OpenJob, now: Millis, phase: Phase) -> Self {
+    pub(crate) fn new(job: &OpenJob, now: Millis, phase: Phase, loose: bool) -> Self {
         let mut tasks = Vec::with_capacity(job.tasks.len());
         for step in &job.tasks {
             let live = step.iter().map(|task| LiveTask {
@@ -71,18 +78,22 @@
                 run: Run(0),
                 avoid: None,
                 moves: 0,
+                fails: task.fails,
             });
             tasks.push(live.collect());
         }
-        let chain = longest_chain(job);
-        let stretched = chain.0 * u64::from(job.terms.slack) / SCALE;
+        let terms = &job.plan.terms;
+        let chain = longest_chain(&job.plan.steps);
+        let stretched = chain.0 * u64::from(terms.slack) / SCALE;
         Self {
+            objective: Millis(stretched) + terms.target,
+            priority: terms.priority,
+            plan: Arc::clone(&job.plan),
+            loose,
             tasks,
             since: now,
             started: phase == Phase::Unknown,
-            objective: Millis(stretched) + job.terms.target,
             chain,
-            priority: job.terms.priority,
         }
     }
 
@@ -104,15 +115,49 @@
         self.tasks.get_mut(step)?.get_mut(index)
     }
 
+    /// True when all tasks of the steps that `step` waits for have ended.
+    pub(crate) fn is_due(&self, step: usize) -> bool {
+        let Some(spec) = self.plan.steps.get(step) else {
+            return false;
+        };
+        spec.after.iter().all(|before| {
+            let tasks = usize::try_from(*before)
+                .ok()
+                .and_then(|b| self.tasks.get(b));
+            tasks.is_some_and(|tasks| tasks.iter().all(|t| t.phase == Phase::Done))
+        })
+    }
+
+    /// How a job that is not stored has ended, if it has.
+    pub(crate) fn outcome(&self) -> Option<State> {
+        let attempts = self.plan.terms.attempts;
+        let mut tasks = self.tasks.iter().flatten();
+        if tasks.clone().all(|t| t.phase == Phase::Done) {
+            return Some(State::Completed);
+        }
+        let failed = tasks.any(|t| t.fails >= attempts && t.phase != Phase::Done);
+        failed.then_some(State::Failed)
+    }
+
+    pub(crate) fn need(&self, task: TaskId) -> Resources {
+        self.plan
+            .step(task)
+            .map_or(Resources::default(), |s| s.need)
+    }
+
+    pub(crate) fn estimate(&self, task: TaskId) -> Millis {
+        self.plan.step(task).map_or(Millis(0), |s| s.estimate)
+    }
+
     pub(crate) fn has_ready(&self) -> bool {
         self.tasks.iter().flatten().any(|t| t.phase == Phase::Ready)
     }
 }
 
 /// Sum of the estimates along the longest path through the steps.
-fn longest_chain(job: &OpenJob) -> Millis {
-    let mut ends: Vec<Millis> = Vec::with_capacity(job.steps.len());
-    for step in &job.steps {
+fn longest_chain(steps: &[Step]) -> Millis {
+    let mut ends: Vec<Millis> = Vec::with_capacity(steps.len());
+    for step in steps {
         let before = step
             .after
             .iter()
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use snafu::{ResultExt, Snafu};
 
-use super::book::{Book, Change, Entry, Job};
+use super::book::{Book, Change, Entry, Job, OpenJob};
 use super::call::{Call, Reply, Want};
 use super::leader::{GRANT, Leader, LeaderOutput};
 use super::routes::{self, Target};
-use super::spec::{JobId, Setup, State};
+use super::spec::{JobId, JobSpec, Setup, State, Terms};
 use super::wire::{Down, Up, Who};
 use super::worker::SessionId;
 use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term};
@@ -23,6 +23,9 @@
 const SNAPSHOT_AFTER: usize = 8_000;
 /// Kept beyond the time that callers may ask for an outcome.
 const KEEP_MARGIN: Millis = Millis(10_000);
+/// How long the outcome of a job that is not stored is kept: its caller submits it
+/// again a little later when the answer was lost.
+const RECENT: Millis = Millis(5_000);
 /// What a caller is told to wait when a call was not taken.
 const RETRY_AFTER: Millis = Millis(1_000);
 
@@ -100,6 +103,11 @@
     told: Option<(bool, Term, Vec<u64>)>,
     raw: Vec<RaftOutput>,
     acts: Vec<LeaderOutput>,
+    // Who waits for the end of a job that is not stored.
+    callers: Table<JobId, Vec<Origin>>,
+    // Jobs that were not stored and ended lately, with the time of that.
+    recent: Table<JobId, (Millis, State)>,
+    swept: Millis,
 }
 
 impl Replica {
@@ -117,6 +125,9 @@
             told: None,
             raw: Vec::new(),
             acts: Vec::new(),
+            callers: Table::default(),
+            recent: Table::default(),
+            swept: Millis(0),
         })
     }
 
@@ -149,6 +160,10 @@
                 if let Some(lead) = &mut self.lead {
                     lead.disconnected(session);
                 }
+                self.leave(
+                    now,
+                    |origin| matches!(origin, Origin::Session(s, _) if *s == session),
+                );
             }
             ReplicaInput::Call(token, call) => self.call(now, Origin::Local(token), call, out),
             ReplicaInput::Tick => self.tick(now),
@@ -166,6 +181,10 @@
             let keep = self.times.keep + KEEP_MARGIN;
             lead.tick(now, keep, &mut self.acts);
         }
+        if now.since(self.swept) >= RECENT {
+            self.swept = now;
+            self.recent.retain(|_, (at, _)| now.since(*at) < RECENT);
+        }
     }
 
     /// Ends a turn: starts tasks, proposes what has gathered, tells of changes of
@@ -175,26 +194,27 @@
         now: Millis,
         out: &mut Vec<ReplicaOutput>,
     ) -> Result<(), ReplicaError> {
-        self.take_lead(now);
+        self.take_lead(now, out);
         if self.raft.holds_lease(now)
             && let Some(lead) = &mut self.lead
         {
             lead.place(now, &self.book, &mut self.acts);
         }
-        self.take_acts(out);
+        self.take_acts(now, out);
         self.propose(now, out)?;
         self.take_raft(now, out)?;
-        self.take_acts(out);
+        self.take_acts(now, out);
         self.tell_status(now, out);
         self.compact(out)
     }
 
     /// Becomes the dispatcher once all entries of former terms are applied.
-    fn take_lead(&mut self, now: Millis) {
+    fn take_lead(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
         let term = self.raft.term();
         if !self.raft.is_leader() {
             if self.lead.take().is_some() {
                 events::LEADER.log(format_args!("leads=false term={}", term.0));
+                self.give_up_callers(out);
             }
             return;
         }
@@ -211,6 +231,14 @@
         self.lead = Some(lead);
     }
 
+    /// Lets the callers of jobs that are not stored ask the next leader.
+    fn give_up_callers(&mut self, out: &mut Vec<ReplicaOutput>) {
+        for (_, origins) in std::mem::take(&mut self.callers).iter() {
+            out.extend(origins.iter().map(|origin| answer(*origin, Reply::Unknown)));
+        }
+        self.recent = Table::default();
+    }
+
     fn tell_status(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
         let status = self.status(now);
         if self.told.as_ref() == Some(&status) {
@@ -220,7 +248,11 @@
         self.told = Some(status);
         for (session, _) in self.sessions.iter() {
             let members = members.clone();
-            let down = Down::Status { leads, term, members };
+            let down = Down::Status {
+                leads,
+                term,
+                members,
+            };
             out.push(ReplicaOutput::Down(*session, down));
         }
     }
@@ -238,7 +270,11 @@
                 }
                 self.sessions.insert(session, who);
                 let (leads, term, members) = self.status(now);
-                let down = Down::Status { leads, term, members };
+                let down = Down::Status {
+                    leads,
+                    term,
+                    members,
+                };
                 out.push(ReplicaOutput::Down(session, down));
             }
             Up::Beat(at) => {
@@ -251,6 +287,10 @@
                 out.push(ReplicaOutput::Down(session, Down::Beat { at, grant }));
             }
             Up::Call(number, call) => self.call(now, Origin::Session(session, number), call, out),
+            Up::Drop(number) => {
+                let gone = Origin::Session(session, number);
+                self.leave(now, |origin| *origin == gone);
+            }
             Up::Report(report) => {
                 if let Some(lead) = &mut self.lead {
                     lead.report(now, &self.book, session, report, &mut self.acts);
@@ -279,7 +319,8 @@
             }),
             Call::Evacuate(place, is_out) => {
                 events::EVACUATE.log(format_args!("data_centre={place} out={is_out}"));
-                self.batch.push((Entry::Evacuate(place, is_out), Waiter::Call(origin)));
+                self.batch
+                    .push((Entry::Evacuate(place, is_out), Waiter::Call(origin)));
                 None
             }
         };
@@ -326,7 +367,10 @@
                     events::REFUSED.log(format_args!("job={id} unsupported={what}"));
                     return Some(Reply::Refused(RETRY_AFTER));
                 }
-                self.accept(now, origin, id, terms, spec);
+                if spec.loose {
+                    return self.submit_loose(now, origin, id, terms, spec);
+                }
+                self.accept(origin, id, terms, spec);
                 None
             }
             (_, Want::Submit(_)) => Some(Reply::Invalid("not a job".to_owned())),
@@ -335,14 +379,48 @@
         }
     }
 
-    fn accept(
+    /// Takes a job that is not stored; its end answers the call.
+    fn submit_loose(
         &mut self,
-        _now: Millis,
+        now: Millis,
         origin: Origin,
         id: JobId,
-        terms: super::spec::Terms,
-        spec: super::spec::JobSpec,
-    ) {
+        terms: Terms,
+        spec: JobSpec,
+    ) -> Option<Reply> {
+        if let Some((_, state)) = self.recent.get(&id) {
+            return Some(Reply::State(*state));
+        }
+        let lead = self.lead.as_mut()?;
+        self.callers.or_insert_with(id, Vec::new).push(origin);
+        if !lead.holds(id) {
+            let job = OpenJob::new(terms, spec);
+            let tasks: usize = job.tasks.iter().map(Vec::len).sum();
+            events::ACCEPTED.log(format_args!("job={id} tasks={tasks} stored=false"));
+            lead.submit_loose(now, id, &job);
+        }
+        None
+    }
+
+    /// Some callers have left; jobs that nobody waits for are abandoned.
+    fn leave(&mut self, now: Millis, gone: impl Fn(&Origin) -> bool) {
+        let mut alone = Vec::new();
+        for (id, origins) in self.callers.iter_mut() {
+            let before = origins.len();
+            origins.retain(|origin| !gone(origin));
+            if origins.is_empty() && before > 0 {
+                alone.push(*id);
+            }
+        }
+        for id in alone {
+            self.callers.remove(&id);
+            if let Some(lead) = &mut self.lead {
+                lead.abandon(now, id, &mut self.acts);
+            }
+        }
+    }
+
+    fn accept(&mut self, origin: Origin, id: JobId, terms: Terms, spec: JobSpec) {
         let pending = self.pending.iter_mut().map(|(_, waiter)| waiter);
         let batched = self.batch.iter_mut().map(|(_, waiter)| waiter);
         for waiter in pending.chain(batched) {
@@ -375,20 +453,21 @@
             Some(Job::Ended(state)) => Reply::State(*state),
             Some(Job::Open(_)) => {
                 let started = self.lead.as_ref().is_some_and(|l| l.has_started(id));
-                Reply::State(if started { State::Running } else { State::Queued })
+                Reply::State(if started {
+                    State::Running
+                } else {
+                    State::Queued
+                })
             }
         }
     }
 
     /// Jobs with these terms of which no task has started.
-    fn count_pending(&self, terms: &super::spec::Terms) -> u64 {
+    fn count_pending(&self, terms: &Terms) -> u64 {
         let Some(lead) = &self.lead else {
             return 0;
         };
-        let waits = |id: &JobId| {
-            self.book.open(*id).is_some_and(|j| j.terms == *terms) && !lead.has_started(*id)
-        };
-        lead.open().filter(|id| waits(id)).count() as u64
+        lead.count_pending(terms)
     }
 
     fn propose(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
@@ -398,7 +477,9 @@
         let mut commands = Vec::with_capacity(self.batch.len());
         let mut waiters = Vec::with_capacity(self.batch.len());
         for (entry, waiter) in self.batch.drain(..) {
-            commands.push(Bytes::from(postcard::to_stdvec(&entry).context(EncodeSnafu)?));
+            commands.push(Bytes::from(
+                postcard::to_stdvec(&entry).context(EncodeSnafu)?,
+            ));
             waiters.push(waiter);
         }
         let mut raw = std::mem::take(&mut self.raw);
@@ -418,9 +499,15 @@
         Ok(())
     }
 
-    fn take_acts(&mut self, out: &mut Vec<ReplicaOutput>) {
-        for act in self.acts.drain(..) {
+    fn take_acts(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
+        for act in std::mem::take(&mut self.acts) {
             match act {
+                LeaderOutput::Ended(id, state) => {
+                    self.recent.insert(id, (now, state));
+                    for origin in self.callers.remove(&id).unwrap_or_default() {
+                        out.push(answer(origin, Reply::State(state)));
+                    }
+                }
                 LeaderOutput::Propose(entry) => self.batch.push((entry, Waiter::Nobody)),
                 LeaderOutput::Down(session, down) => out.push(ReplicaOutput::Down(session, down)),
             }
@@ -474,7 +561,11 @@
             && *at <= index
         {
             if let Some((at, waiter)) = self.pending.pop_front() {
-                let reply = if at == index { self.outcome(&waiter, &changes) } else { Reply::Unknown };
+                let reply = if at == index {
+                    self.outcome(&waiter, &changes)
+                } else {
+                    Reply::Unknown
+                };
                 settle(waiter, &reply, out);
             }
         }
@@ -490,8 +581,14 @@
                 if same { Reply::Done } else { Reply::Conflict }
             }
             Waiter::Accept(id, _) => {
-                let tasks = self.book.open(*id).map_or(0, |j| j.tasks.iter().map(Vec::len).sum());
-                events::ACCEPTED.log(format_args!("job={id} tasks={tasks} changes={}", changes.len()));
+                let tasks = self
+                    .book
+                    .open(*id)
+                    .map_or(0, |j| j.tasks.iter().map(Vec::len).sum());
+                events::ACCEPTED.log(format_args!(
+                    "job={id} tasks={tasks} changes={}",
+                    changes.len()
+                ));
                 Reply::Done
             }
             Waiter::Nobody | Waiter::Call(_) => Reply::Done,
@@ -522,7 +619,11 @@
         Waiter::Nobody => {}
         Waiter::Call(origin) | Waiter::Setup(origin, ..) => out.push(answer(origin, reply.clone())),
         Waiter::Accept(_, origins) => {
-            out.extend(origins.into_iter().map(|origin| answer(origin, reply.clone())));
+            out.extend(
+                origins
+                    .into_iter()
+                    .map(|origin| answer(origin, reply.clone())),
+            );
         }
     }
 }
--- a/src/dispatch/spec.rs
+++ b/src/dispatch/spec.rs
@@ -127,6 +127,9 @@
     pub payload: String,
     /// The steps.
     pub steps: Vec<Step>,
+    /// Not stored: its caller waits for the end on the line, and submits it again
+    /// when it hears nothing.
+    pub loose: bool,
     /// What the job asks for that is not built, if anything.
     pub unsupported: Option<String>,
 }
@@ -159,6 +162,20 @@
     pub target: Millis,
 }
 
+/// What a job is, for as long as it is open.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Plan {
+    pub(crate) terms: Terms,
+    pub(crate) payload: String,
+    pub(crate) steps: Vec<Step>,
+}
+
+impl Plan {
+    pub(crate) fn step(&self, task: TaskId) -> Option<&Step> {
+        self.steps.get(usize::try_from(task.step).ok()?)
+    }
+}
+
 /// The operator's configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Setup {
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -25,6 +25,8 @@
     Beat(Millis),
     /// A call under the entry's number for it.
     Call(u64, Call),
+    /// The caller of this call has left, or cannot be answered in time any more.
+    Drop(u64),
     Report(Report),
     Peer(Message),
 }
@@ -108,10 +110,7 @@
         reason: Denial,
     },
     /// Ends, each with its number within the backend server's life.
-    Ends {
-        life: u64,
-        ends: Vec<(u64, End)>,
-    },
+    Ends { life: u64, ends: Vec<(u64, End)> },
     /// Progress of runs, in percent.
     Progress(Vec<(TaskId, Run, u32)>),
 }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -125,7 +125,9 @@
         let (wal, durable) = Wal::open(folder, fresh).context(DataLogSnafu)?;
         let clock = Clock::new();
         let address = cfg.address;
-        let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
         let own = replica_id(address);
         let known: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
         let founder = cfg.founder && known.contains(&own);
@@ -137,7 +139,9 @@
         })?;
         let (tx, rx) = mpsc::channel(EVENTS);
         let synced = tx.clone();
-        let writer = start_writer(wal, move |input| synced.blocking_send(Event::Synced(input)).is_ok());
+        let writer = start_writer(wal, move |input| {
+            synced.blocking_send(Event::Synced(input)).is_ok()
+        });
         tokio::spawn(sessions::serve(listener, clock, tx.clone(), Event::Session));
         let leader = Arc::new(Mutex::new(None));
         let actor = Actor {
@@ -317,7 +321,10 @@
             // Taken by the replica itself.
             ReplicaOutput::Raft(RaftOutput::Commit(_) | RaftOutput::Restore(_)) => {}
             ReplicaOutput::Down(id, down) => {
-                let full = self.sessions.get(&id).is_some_and(|tx| tx.try_send(down).is_err());
+                let full = self
+                    .sessions
+                    .get(&id)
+                    .is_some_and(|tx| tx.try_send(down).is_err());
                 if full {
                     // Its peer does not keep up; closing makes it start anew.
                     self.sessions.remove(&id);
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
@@ -25,7 +25,8 @@
 
 #[derive(Debug)]
 enum Event {
-    Call(Call, Millis, oneshot::Sender<Reply>),
+    Call(u64, Call, Millis, oneshot::Sender<Reply>),
+    Left(u64),
     Seeds(Vec<SocketAddrV4>),
 }
 
@@ -33,6 +34,7 @@
 #[derive(Debug, Clone)]
 pub struct EntryNode {
     tx: mpsc::Sender<Event>,
+    last: Arc<AtomicU64>,
     open: Arc<AtomicUsize>,
     led: Arc<AtomicUsize>,
 }
@@ -52,22 +54,38 @@
             desk: Desk::default(),
             clock,
             callers: Table::default(),
-            last: 0,
             open: Arc::clone(&open),
             led: Arc::clone(&led),
         };
         tokio::spawn(actor.run(rx, link_rx));
         events::STARTED.log(format_args!("entry name={name}"));
-        Self { tx, open, led }
+        Self {
+            tx,
+            last: Arc::new(AtomicU64::new(1)),
+            open,
+            led,
+        }
     }
 
     /// Puts a call to the leader; the answer comes within `wait`.
     pub async fn call(&self, call: Call, wait: Millis) -> Reply {
         let (tx, rx) = oneshot::channel();
-        if self.tx.send(Event::Call(call, wait, tx)).await.is_err() {
+        let token = self.last.fetch_add(1, Ordering::Relaxed);
+        let mut leaving = Leaving {
+            tx: &self.tx,
+            token: Some(token),
+        };
+        if self
+            .tx
+            .send(Event::Call(token, call, wait, tx))
+            .await
+            .is_err()
+        {
             return Reply::NotLeader;
         }
-        rx.await.unwrap_or(Reply::Unknown)
+        let reply = rx.await.unwrap_or(Reply::Unknown);
+        leaving.token = None;
+        reply
     }
 
     /// Takes other seeds.
@@ -90,12 +108,27 @@
     }
 }
 
+/// Tells the desk when the future of a call is dropped before its answer.
+struct Leaving<'a> {
+    tx: &'a mpsc::Sender<Event>,
+    token: Option<u64>,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if let Some(token) = self.token
+            && self.tx.try_send(Event::Left(token)).is_err()
+        {
+            log::debug!("call {token} stays open until its deadline");
+        }
+    }
+}
+
 struct Actor {
     links: Links,
     desk: Desk,
     clock: Clock,
     callers: Table<u64, oneshot::Sender<Reply>>,
-    last: u64,
     open: Arc<AtomicUsize>,
     led: Arc<AtomicUsize>,
 }
@@ -128,11 +161,14 @@
 
     fn take(&mut self, event: Event) -> Option<DeskInput> {
         match event {
-            Event::Call(call, wait, tx) => {
-                self.last += 1;
-                self.callers.insert(self.last, tx);
+            Event::Left(token) => {
+                self.callers.remove(&token);
+                Some(DeskInput::Left(token))
+            }
+            Event::Call(token, call, wait, tx) => {
+                self.callers.insert(token, tx);
                 Some(DeskInput::Call {
-                    token: self.last,
+                    token,
                     call,
                     deadline: self.clock.now() + wait,
                 })
@@ -149,7 +185,8 @@
             News::Quiet => None,
             News::Leader(leader) => {
                 let link = leader.map(|(id, _)| id);
-                self.led.store(usize::from(link.is_some()), Ordering::Relaxed);
+                self.led
+                    .store(usize::from(link.is_some()), Ordering::Relaxed);
                 let term = leader.map_or(0, |(_, term)| term.0);
                 events::LEADER_FOUND.log(format_args!("known={} term={term}", link.is_some()));
                 Some(DeskInput::Leader(link))
@@ -162,6 +199,7 @@
     fn put(&mut self, output: DeskOutput) {
         match output {
             DeskOutput::Send(link, token, call) => self.links.send(link, Up::Call(token, call)),
+            DeskOutput::Drop(link, token) => self.links.send(link, Up::Drop(token)),
             DeskOutput::Answer(token, reply) => {
                 if let Some(tx) = self.callers.remove(&token)
                     && tx.send(reply).is_err()
--- a/src/node/frames.rs
+++ b/src/node/frames.rs
@@ -81,7 +81,9 @@
         while let Ok(next) = behind.try_recv() {
             self.feed(&next).await?;
         }
-        SinkExt::<Bytes>::flush(&mut self.inner).await.context(IoSnafu)
+        SinkExt::<Bytes>::flush(&mut self.inner)
+            .await
+            .context(IoSnafu)
     }
 
     async fn feed<T: Serialize>(&mut self, message: &T) -> Result<(), FrameError> {
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -112,12 +112,18 @@
         // What waited for the former session means nothing in this one.
         while self.rx.try_recv().is_ok() {}
         events::SESSION_UP.log(format_args!("to={}", self.address));
-        self.tell.send(LinkEvent::Up(self.id)).await.map_err(|_| ())?;
+        self.tell
+            .send(LinkEvent::Up(self.id))
+            .await
+            .map_err(|_| ())?;
         let ended = self.talk(stream).await;
         if let Err(error) = &ended {
             events::SESSION_DOWN.log(format_args!("to={} why={error}", self.address));
         }
-        self.tell.send(LinkEvent::Down(self.id)).await.map_err(|_| ())?;
+        self.tell
+            .send(LinkEvent::Down(self.id))
+            .await
+            .map_err(|_| ())?;
         match ended {
             Err(FrameError::Dropped) => Err(()),
             _ => Ok(()),
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -116,7 +116,10 @@
 
     /// The leader with the highest term.
     fn elect(&mut self) -> News {
-        let leading = self.rows.iter().filter_map(|row| Some((row.leads?, row.id)));
+        let leading = self
+            .rows
+            .iter()
+            .filter_map(|row| Some((row.leads?, row.id)));
         let best = leading.max().map(|(term, id)| (id, term));
         if best == self.leader {
             return News::Quiet;
--- a/src/node/output.rs
+++ b/src/node/output.rs
@@ -26,7 +26,11 @@
     fern::Dispatch::new()
         .level(level)
         .format(|out, message, record| {
-            out.finish(format_args!("at={} level={} {message}", wall().0, record.level()));
+            out.finish(format_args!(
+                "at={} level={} {message}",
+                wall().0,
+                record.level()
+            ));
         })
         .chain(fern::Output::call(move |record| offer(&tx, record)))
         .apply()
--- a/src/node/sessions.rs
+++ b/src/node/sessions.rs
@@ -89,7 +89,11 @@
         }
     }
 
-    async fn talk(&self, stream: TcpStream, mut rx: mpsc::Receiver<Down>) -> Result<(), FrameError> {
+    async fn talk(
+        &self,
+        stream: TcpStream,
+        mut rx: mpsc::Receiver<Down>,
+    ) -> Result<(), FrameError> {
         stream.set_nodelay(true).context(IoSnafu)?;
         let (read, write) = stream.into_split();
         let heard = Arc::new(AtomicU64::new(self.clock.now().0));
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -17,7 +17,9 @@
 
 impl Clock {
     pub(crate) fn new() -> Self {
-        Self { start: boot_millis() }
+        Self {
+            start: boot_millis(),
+        }
     }
 
     /// Time since the start, plus one so that no reading is zero.
