--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -1,7 +1,14 @@
-//! The agent beside a backend server: carries out the leader's orders, keeps the
-//! backend server's lease alive, and reports every end until it is on record.
+//! The agent beside a backend server: carries out the orders of dispatchers, keeps
+//! the backend server's lease alive, and reports every end until it is on record.
+//!
+//! Dispatchers are the control group's leader and the entries. Each grants the
+//! agent the right to act for it for a short time; when that lapses, its runs are
+//! stopped.
 
 use super::book::End;
+use super::boss::{Boss, Owner};
+use super::held::{Held, HeldEnd, Phase};
+use super::server_call::{Beat, CallId, Lists, ServerCall, ServerCallKind, ServerReply};
 use super::spec::{Ending, Resources, Run, TaskId};
 use super::wire::{Denial, Order, Report, Server};
 use crate::control::log::Term;
@@ -21,113 +28,17 @@
 const STOP_RETRY: Millis = Millis(150);
 /// Between reports of progress.
 const PROGRESS_EVERY: Millis = Millis(400);
+/// Between reports of what other dispatchers use.
+const OTHERS_EVERY: Millis = Millis(8);
 /// The backend server's clock may run so much slow, in percent.
 const DRIFT_PERCENT: u64 = 2;
 /// Added to a lease before it counts as lapsed: one hop on the same machine.
 const LAPSE_MARGIN: Millis = Millis(50);
-
-/// A call's number, rising within one life of the agent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallId(pub u64);
-
-/// A call to the backend server, which must be the one named by `server`.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServerCall {
-    /// Its number.
-    pub id: CallId,
-    /// The id of the backend server that is meant.
-    pub server: String,
-    /// The leader's term; older terms are refused.
-    pub token: u64,
-    /// What to do.
-    pub kind: ServerCallKind,
-}
-
-/// What a call to the backend server asks for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ServerCallKind {
-    /// Start a run, under a lease until `until` on the backend server's clock.
-    Start {
-        /// The task.
-        task: TaskId,
-        /// Its run.
-        run: Run,
-        /// The job's payload.
-        payload: String,
-        /// End of the lease.
-        until: Millis,
-    },
-    /// Stop a run.
-    Stop {
-        /// The task.
-        task: TaskId,
-        /// Its run.
-        run: Run,
-    },
-    /// List runs and ends, and extend the lease.
-    Hold {
-        /// Ends up to this number may be forgotten.
-        seen: u64,
-        /// End of the lease; `None` leaves it.
-        until: Option<Millis>,
-        /// How long to wait for an end.
-        wait: Millis,
-    },
-}
-
-/// The backend server's answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum ServerReply {
-    /// A start was taken.
-    Started {
-        /// Its clock.
-        clock: Millis,
-    },
-    /// A start was refused; nothing has run.
-    Denied(Denial),
-    /// A stop was taken.
-    Stopped,
-    /// The lists.
-    Held(Lists),
-    /// The backend server has another id by now.
-    OtherLife,
-    /// No answer: it may have been carried out, or may be yet.
-    Silent,
-}
-
-/// What the backend server lists.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Lists {
-    /// Its clock.
-    pub clock: Millis,
-    /// When it was started, in milliseconds since the Unix epoch.
-    pub born: Option<u64>,
-    /// Runs with their progress in percent.
-    pub running: Vec<(TaskId, Run, u32)>,
-    /// Ends with their numbers.
-    pub ended: Vec<(u64, TaskId, Run, Ending)>,
-}
-
-/// What a backend server announces of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Beat {
-    /// Its id.
-    pub id: String,
-    /// When it was started, in milliseconds since the Unix epoch.
-    pub born: Option<u64>,
-    /// Rises with each announcement.
-    pub sequence: u64,
-    /// The service.
-    pub service: String,
-    /// Its data centre.
-    pub place: String,
-    /// What its worker has.
-    pub capacity: Resources,
-    /// The worker's labels.
-    pub labels: Vec<String>,
-    /// True when it leaves soon.
-    pub leaving: bool,
-}
+/// A run or an end that no dispatcher claims is given up after this: sessions are
+/// opened anew well inside it.
+const CLAIM_WITHIN: Millis = Millis(1_000);
+/// A dispatcher without a session is forgotten so long after its grant.
+const FORGET_AFTER: Millis = Millis(3_000);
 
 /// What reaches an agent.
 #[derive(Debug, Clone, PartialEq)]
@@ -135,17 +46,23 @@
     Beat(Beat),
     /// The backend server with this id leaves now.
     Left(String),
-    /// A session with a leader is up.
-    Leader(Term),
-    /// The session with the leader is gone.
-    NoLeader,
-    /// The agent may act until then.
-    Granted(Millis),
-    Order(Order),
+    /// A session with the group's leader is up, or gone.
+    Leader(Option<Term>),
+    /// A session with an entry is up, which believes these runs to be here.
+    Welcome(u64, Vec<(TaskId, Run)>),
+    /// The session with an entry is gone.
+    EntryGone(u64),
+    /// The agent may act for a dispatcher until then.
+    Granted(Owner, Millis),
+    Order(Owner, Order),
+    /// A dispatcher needs no more reports of its ends up to this number.
     Recorded {
+        owner: Owner,
         life: u64,
         upto: u64,
     },
+    /// Data centres that are out, as of this entry of the log.
+    Out(u64, Vec<String>),
     Replied(CallId, ServerReply),
     Tick,
 }
@@ -154,7 +71,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum AgentOutput {
     Call(ServerCall),
-    Report(Report),
+    Report(Owner, Report),
 }
 
 /// How long things may take, by the users' settings.
@@ -164,39 +81,11 @@
     pub hold: Millis,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// The start is on its way.
-    Starting,
-    Running,
-    /// The start got no answer.
-    Doubt,
-    /// The run must end; the stop is on its way.
-    Stopping,
-    /// The stop was answered.
-    Stopped,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    phase: Phase,
-    // When the phase began.
-    at: Millis,
-    percent: u32,
-    // True when the start never was answered with yes.
-    doubted: bool,
-}
-
 #[derive(Debug, Clone, Copy)]
 enum Pending {
     Start(TaskId, Run),
     Stop(TaskId, Run),
-    Hold {
-        sent: Millis,
-        life: u64,
-        term: Term,
-        extends: bool,
-    },
+    Hold { sent: Millis, life: u64, term: Term },
 }
 
 /// One agent.
@@ -205,18 +94,21 @@
     times: AgentTimes,
     server: Option<Server>,
     sequence: u64,
+    // The latest leader's term, and the least token that the backend server takes.
     term: Term,
-    // A session with the leader is up.
-    linked: bool,
-    // The leader has this agent's inventory.
-    told: bool,
-    granted: Millis,
+    floor: u64,
+    // The life of the backend server that has been looked at, and the term then.
+    looked: Option<(u64, Term)>,
+    bosses: Table<Owner, Boss>,
+    // Data centres that are out.
+    out_index: u64,
+    out: Vec<String>,
     // The backend server's clock at a time of the own clock.
     clock: Option<(Millis, Millis)>,
     // Until when the backend server's lease may last, by the own clock.
     leased: Millis,
     runs: Table<(TaskId, Run), Held>,
-    ends: Vec<(u64, End)>,
+    ends: Vec<HeldEnd>,
     known_end: u64,
     seen: u64,
     pending: Table<CallId, Pending>,
@@ -224,6 +116,8 @@
     holding: u32,
     next_hold: Millis,
     progress: Millis,
+    others_told: Millis,
+    others_due: bool,
 }
 
 impl Agent {
@@ -233,9 +127,11 @@
             server: None,
             sequence: 0,
             term: Term(0),
-            linked: false,
-            told: false,
-            granted: Millis(0),
+            floor: 0,
+            looked: None,
+            bosses: Table::default(),
+            out_index: 0,
+            out: Vec::new(),
             clock: None,
             leased: Millis(0),
             runs: Table::default(),
@@ -247,6 +143,8 @@
             holding: 0,
             next_hold: Millis(0),
             progress: Millis(0),
+            others_told: Millis(0),
+            others_due: false,
         }
     }
 
@@ -260,16 +158,31 @@
                 }
             }
             AgentInput::Leader(term) => self.on_leader(now, term, out),
-            AgentInput::NoLeader => {
-                self.linked = false;
-                self.told = false;
+            AgentInput::Welcome(life, runs) => self.on_welcome(now, life, &runs, out),
+            AgentInput::EntryGone(life) => {
+                if let Some(boss) = self.bosses.get_mut(&Owner::Entry(life)) {
+                    boss.disconnect();
+                }
+            }
+            AgentInput::Granted(owner, until) => {
+                if let Some(boss) = self.bosses.get_mut(&owner) {
+                    boss.granted = boss.granted.max(until);
+                }
+            }
+            AgentInput::Order(owner, order) => self.on_order(now, owner, order, out),
+            AgentInput::Recorded { owner, life, upto } => {
+                self.on_recorded(now, owner, life, upto, out);
+            }
+            AgentInput::Out(index, places) => {
+                if index >= self.out_index {
+                    self.out_index = index;
+                    self.out = places;
+                }
             }
-            AgentInput::Granted(until) => self.granted = self.granted.max(until),
-            AgentInput::Order(order) => self.on_order(now, order, out),
-            AgentInput::Recorded { life, upto } => self.on_recorded(now, life, upto, out),
             AgentInput::Replied(id, reply) => self.on_reply(now, id, reply, out),
             AgentInput::Tick => self.tick(now, out),
         }
+        self.tell_others(now, out);
     }
 
     fn life(&self) -> u64 {
@@ -279,19 +192,13 @@
     fn on_beat(&mut self, now: Millis, beat: Beat, out: &mut Vec<AgentOutput>) {
         let life = beat.born.unwrap_or(1).max(1);
         if let Some(known) = &self.server {
-            let late = life < known.life;
-            let repeated =
-                life == known.life && known.id == beat.id && beat.sequence <= self.sequence;
-            if late || repeated {
+            let same = life == known.life && known.id == beat.id;
+            if life < known.life || (same && beat.sequence <= self.sequence) {
                 return;
             }
-        }
-        let other = self
-            .server
-            .as_ref()
-            .is_some_and(|s| s.life != life || s.id != beat.id);
-        if other {
-            self.lose_server("replaced", out);
+            if !same {
+                self.lose_server("replaced", out);
+            }
         }
         self.sequence = beat.sequence;
         let server = Server {
@@ -306,17 +213,19 @@
         if self.server.as_ref() == Some(&server) {
             return;
         }
-        let fresh = self.server.is_none();
         events::SERVER.log(format_args!(
-            "server={} life={life} service={} place={} leaving={} cpu={}",
+            "server={} life={life} service={} data_centre={} leaving={} cpu={}",
             server.id, server.service, server.place, server.leaving, server.capacity.cpu
         ));
-        self.server = Some(server.clone());
+        let fresh = self.server.replace(server.clone()).is_none();
         if fresh {
-            self.told = false;
+            // They were told that there is none.
+            for (_, boss) in self.bosses.iter_mut() {
+                boss.told = false;
+            }
             self.look(now, Millis(0), out);
-        } else if self.told {
-            out.push(AgentOutput::Report(Report::Server(Some(server))));
+        } else {
+            self.tell_told(&Report::Server(Some(server)), out);
         }
     }
 
@@ -336,99 +245,193 @@
         self.known_end = 0;
         self.seen = 0;
         self.sequence = 0;
+        self.floor = 0;
         self.clock = None;
-        if self.told {
-            out.push(AgentOutput::Report(Report::Server(None)));
+        self.looked = None;
+        self.tell_told(&Report::Server(None), out);
+        for (_, boss) in self.bosses.iter_mut() {
+            boss.told = false;
         }
     }
 
-    fn on_leader(&mut self, now: Millis, term: Term, out: &mut Vec<AgentOutput>) {
+    /// Reports to all dispatchers that have the agent's inventory.
+    fn tell_told(&self, report: &Report, out: &mut Vec<AgentOutput>) {
+        for (owner, _) in self.bosses.iter().filter(|(_, boss)| boss.told) {
+            out.push(AgentOutput::Report(*owner, report.clone()));
+        }
+    }
+
+    fn on_leader(&mut self, now: Millis, term: Option<Term>, out: &mut Vec<AgentOutput>) {
+        let boss = self.bosses.or_insert_with(Owner::Group, Boss::default);
+        let Some(term) = term else {
+            boss.disconnect();
+            return;
+        };
         if term < self.term {
             return;
         }
         events::LEADER_FOUND.log(format_args!("term={}", term.0));
+        boss.connect(term.0);
         self.term = term;
-        self.linked = true;
-        self.told = false;
-        if self.server.is_some() {
+        // Its runs are listed under its own token, which fences former leaders.
+        self.look(now, Millis(0), out);
+        self.tell_all(out);
+    }
+
+    fn on_welcome(
+        &mut self,
+        now: Millis,
+        life: u64,
+        claimed: &[(TaskId, Run)],
+        out: &mut Vec<AgentOutput>,
+    ) {
+        let owner = Owner::Entry(life);
+        let boss = self.bosses.or_insert_with(owner, Boss::default);
+        boss.connect(life);
+        boss.claims = claimed.to_vec();
+        events::ENTRY_FOUND.log(format_args!("life={life} claimed={}", claimed.len()));
+        self.settle_claims();
+        if self.looked.is_none() {
             self.look(now, Millis(0), out);
-        } else {
-            self.tell(out);
         }
+        self.tell_all(out);
     }
 
-    /// Gives the leader everything this agent knows: ends first, since whatever is
-    /// not in the inventory counts as ended otherwise.
-    fn tell(&mut self, out: &mut Vec<AgentOutput>) {
-        if !self.linked {
-            return;
+    /// Gives runs and ends that an earlier life of this agent left to whoever
+    /// claims them.
+    fn settle_claims(&mut self) {
+        for (owner, boss) in self.bosses.iter() {
+            for key in &boss.claims {
+                if let Some(held) = self.runs.get_mut(key)
+                    && held.owner == Owner::Unclaimed
+                {
+                    held.owner = *owner;
+                }
+                let same = |end: &&mut HeldEnd| (end.end.task, end.end.run) == *key;
+                for end in self.ends.iter_mut().filter(same) {
+                    if end.owner == Owner::Unclaimed {
+                        end.owner = *owner;
+                    }
+                }
+            }
         }
-        self.told = true;
-        if !self.ends.is_empty() {
-            let ends = self.ends.clone();
-            out.push(AgentOutput::Report(Report::Ends {
-                life: self.life(),
-                ends,
-            }));
+    }
+
+    /// Gives everything to the dispatchers that can have it and have not.
+    fn tell_all(&mut self, out: &mut Vec<AgentOutput>) {
+        let mut due = Vec::new();
+        for (owner, boss) in self.bosses.iter() {
+            let looked = match owner {
+                // Without a backend server there is nothing to look at.
+                _ if self.server.is_none() => true,
+                Owner::Group => self.looked == Some((self.life(), self.term)),
+                _ => self.looked.is_some_and(|(life, _)| life == self.life()),
+            };
+            if boss.linked && !boss.told && looked {
+                due.push((*owner, boss.epoch));
+            }
         }
-        out.push(AgentOutput::Report(Report::Inventory {
-            term: self.term,
+        for (owner, epoch) in due {
+            self.tell(owner, epoch, out);
+        }
+    }
+
+    /// Tells ends first: whatever is not in the inventory counts as over otherwise.
+    fn tell(&mut self, owner: Owner, epoch: u64, out: &mut Vec<AgentOutput>) {
+        if let Some(boss) = self.bosses.get_mut(&owner) {
+            boss.told = true;
+        }
+        let ends: Vec<_> = self
+            .ends
+            .iter()
+            .filter(|e| e.owner == owner && !e.recorded)
+            .map(|e| (e.number, e.end))
+            .collect();
+        if !ends.is_empty() {
+            let life = self.life();
+            out.push(AgentOutput::Report(owner, Report::Ends { life, ends }));
+        }
+        let own = self.runs.iter().filter(|(_, held)| held.owner == owner);
+        let inventory = Report::Inventory {
+            epoch,
             server: self.server.clone(),
-            runs: self.runs.iter().map(|(key, _)| *key).collect(),
-        }));
+            runs: own.map(|(key, _)| *key).collect(),
+        };
+        out.push(AgentOutput::Report(owner, inventory));
+        self.others_due = true;
     }
 
-    fn on_order(&mut self, now: Millis, order: Order, out: &mut Vec<AgentOutput>) {
+    fn on_order(&mut self, now: Millis, owner: Owner, order: Order, out: &mut Vec<AgentOutput>) {
         match order {
             Order::Start {
                 life,
                 task,
                 run,
+                need,
                 payload,
-            } => self.start(now, life, (task, run), payload, out),
-            Order::Stop { task, run } => {
-                if let Some(held) = self.runs.get_mut(&(task, run)) {
-                    held.phase = Phase::Stopping;
-                    held.at = now;
-                    self.call_stop(task, run, out);
+            } => {
+                if let Some(reason) = self.denial(now, owner, life, need) {
+                    events::START_DENIED.log(format_args!(
+                        "task={task} run={} owner={owner:?} by=agent reason={reason:?} life={life}",
+                        run.0
+                    ));
+                    let report = Report::NotStarted { task, run, reason };
+                    out.push(AgentOutput::Report(owner, report));
+                    self.others_due = true;
+                    return;
                 }
+                self.runs
+                    .insert((task, run), Held::starting(owner, need, now));
+                self.others_due = true;
+                self.call_start(now, task, run, payload, out);
+            }
+            Order::Stop { task, run } => self.stop(now, (task, run), out),
+        }
+    }
+
+    /// Why a run may not start here and now, if so.
+    fn denial(&self, now: Millis, owner: Owner, life: u64, need: Resources) -> Option<Denial> {
+        let told = self
+            .bosses
+            .get(&owner)
+            .is_some_and(|b| b.told && now < b.granted);
+        let server = self
+            .server
+            .as_ref()
+            .filter(|s| s.life == life && !s.leaving);
+        let Some(server) = server else {
+            return Some(Denial::Closed);
+        };
+        let is_out = self.out.binary_search(&server.place).is_ok();
+        if !told || is_out || self.lease_end(now).is_none() {
+            return Some(Denial::Closed);
+        }
+        let fits = server.capacity.fits(self.used(None), need);
+        (!fits).then_some(Denial::Room)
+    }
+
+    /// What all runs take, or those of all others than one dispatcher.
+    fn used(&self, except: Option<Owner>) -> Resources {
+        let mut used = Resources::default();
+        for (_, held) in self.runs.iter() {
+            if Some(held.owner) != except {
+                used.add(held.need);
             }
         }
+        used
     }
 
-    fn start(
+    fn call_start(
         &mut self,
         now: Millis,
-        life: u64,
-        (task, run): (TaskId, Run),
+        task: TaskId,
+        run: Run,
         payload: String,
         out: &mut Vec<AgentOutput>,
     ) {
-        let usable = self
-            .server
-            .as_ref()
-            .is_some_and(|s| s.life == life && !s.leaving);
-        let until = self.lease_end(now);
-        let (true, Some(until)) = (usable && self.told, until) else {
-            events::START_DENIED.log(format_args!(
-                "task={task} run={} usable={usable} granted_until={} now={}",
-                run.0, self.granted.0, now.0
-            ));
-            let reason = Denial::Closed;
-            out.push(AgentOutput::Report(Report::NotStarted {
-                task,
-                run,
-                reason,
-            }));
+        let Some(until) = self.lease_end(now) else {
             return;
         };
-        let held = Held {
-            phase: Phase::Starting,
-            at: now,
-            percent: 0,
-            doubted: true,
-        };
-        self.runs.insert((task, run), held);
         self.note_lease(now);
         let kind = ServerCallKind::Start {
             task,
@@ -439,11 +442,19 @@
         self.call(Pending::Start(task, run), kind, out);
     }
 
+    fn stop(&mut self, now: Millis, key: (TaskId, Run), out: &mut Vec<AgentOutput>) {
+        if let Some(held) = self.runs.get_mut(&key) {
+            held.enter(Phase::Stopping, now);
+            self.call_stop(key.0, key.1, out);
+        }
+    }
+
     /// The end of a lease given now, on the backend server's clock; `None` while
-    /// the leader's grant does not last or that clock is not known.
+    /// no dispatcher's grant lasts or that clock is not known.
     fn lease_end(&self, now: Millis) -> Option<Millis> {
         let (clock, at) = self.clock?;
-        let length = self.times.hold.min(self.granted.since(now));
+        let granted = self.bosses.iter().map(|(_, boss)| boss.granted).max()?;
+        let length = self.times.hold.min(granted.since(now));
         if length == Millis(0) {
             return None;
         }
@@ -457,11 +468,8 @@
     }
 
     fn call_stop(&mut self, task: TaskId, run: Run, out: &mut Vec<AgentOutput>) {
-        self.call(
-            Pending::Stop(task, run),
-            ServerCallKind::Stop { task, run },
-            out,
-        );
+        let kind = ServerCallKind::Stop { task, run };
+        self.call(Pending::Stop(task, run), kind, out);
     }
 
     fn call(&mut self, pending: Pending, kind: ServerCallKind, out: &mut Vec<AgentOutput>) {
@@ -473,7 +481,7 @@
         out.push(AgentOutput::Call(ServerCall {
             id: self.last_call,
             server: server.id.clone(),
-            token: self.term.0,
+            token: self.term.0.max(self.floor),
             kind,
         }));
     }
@@ -492,7 +500,6 @@
             sent: now,
             life: self.life(),
             term: self.term,
-            extends: until.is_some(),
         };
         let kind = ServerCallKind::Hold {
             seen: self.seen,
@@ -502,12 +509,31 @@
         self.call(pending, kind, out);
     }
 
-    fn on_recorded(&mut self, now: Millis, life: u64, upto: u64, out: &mut Vec<AgentOutput>) {
-        if life != self.life() || upto <= self.seen {
+    fn on_recorded(
+        &mut self,
+        now: Millis,
+        owner: Owner,
+        life: u64,
+        upto: u64,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if life != self.life() {
             return;
         }
-        self.seen = upto;
-        self.ends.retain(|(number, _)| *number > upto);
+        for end in &mut self.ends {
+            end.recorded |= end.owner == owner && end.number <= upto;
+        }
+        self.drop_recorded(now, out);
+    }
+
+    /// Moves the mark up to which the backend server may forget ends.
+    fn drop_recorded(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        let done = self.ends.iter().take_while(|end| end.recorded).count();
+        let Some(last) = done.checked_sub(1) else {
+            return;
+        };
+        self.seen = self.ends[last].number;
+        self.ends.drain(..done);
         if self.ends.is_empty() && self.holding == 0 {
             self.look(now, HOLD_WAIT, out);
         }
@@ -523,25 +549,23 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
+        if reply == ServerReply::Fenced {
+            self.floor = self.term.0.max(self.floor) + 1;
+            events::FENCED.log(format_args!("term={} floor={}", self.term.0, self.floor));
+        }
         match pending {
             Pending::Start(task, run) => self.on_start_reply(now, (task, run), &reply, out),
             Pending::Stop(task, run) => {
                 if let Some(held) = self.runs.get_mut(&(task, run))
                     && reply == ServerReply::Stopped
                 {
-                    held.phase = Phase::Stopped;
-                    held.at = now;
+                    held.enter(Phase::Stopped, now);
                 }
             }
-            Pending::Hold {
-                sent,
-                life,
-                term,
-                extends,
-            } => {
+            Pending::Hold { sent, life, term } => {
                 self.holding = self.holding.saturating_sub(1);
                 if life == self.life() {
-                    self.on_held(now, sent, term, extends, reply, out);
+                    self.on_held(now, sent, term, reply, out);
                 }
             }
         }
@@ -557,45 +581,52 @@
         let Some(held) = self.runs.get_mut(&key) else {
             return;
         };
-        let (task, run) = key;
+        let owner = held.owner;
         match reply {
             ServerReply::Started { .. } => {
-                held.doubted = false;
                 if held.phase == Phase::Starting {
-                    held.phase = Phase::Running;
-                    held.at = now;
+                    held.enter(Phase::Running, now);
                 }
-                self.report(Report::Started(task, run), out);
+                self.report(owner, Report::Started(key.0, key.1), out);
             }
-            ServerReply::Denied(reason) => {
-                let reason = *reason;
-                self.runs.remove(&key);
-                events::START_DENIED.log(format_args!(
-                    "task={task} run={} by=server reason={reason:?}",
-                    run.0
-                ));
-                self.report(Report::NotStarted { task, run, reason }, out);
-            }
-            ServerReply::OtherLife => {
-                self.runs.remove(&key);
-                let reason = Denial::Closed;
-                self.report(Report::NotStarted { task, run, reason }, out);
+            ServerReply::Denied(reason) => self.not_started(key, *reason, "server", out),
+            ServerReply::OtherLife | ServerReply::Fenced => {
+                self.not_started(key, Denial::Closed, "server", out);
             }
             ServerReply::Silent | ServerReply::Stopped | ServerReply::Held(_) => {
-                events::START_UNANSWERED.log(format_args!("task={task} run={}", run.0));
+                events::START_UNANSWERED.log(format_args!("task={} run={}", key.0, key.1.0));
                 if held.phase == Phase::Starting {
-                    held.phase = Phase::Doubt;
-                    held.at = now;
+                    held.enter(Phase::Doubt, now);
                 }
                 self.look(now, Millis(0), out);
             }
         }
     }
 
-    fn report(&self, report: Report, out: &mut Vec<AgentOutput>) {
+    /// A run is not here and never will be.
+    fn not_started(
+        &mut self,
+        key: (TaskId, Run),
+        reason: Denial,
+        by: &str,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        let Some(held) = self.runs.remove(&key) else {
+            return;
+        };
+        self.others_due = true;
+        let (task, run) = key;
+        events::START_DENIED.log(format_args!(
+            "task={task} run={} owner={:?} by={by} reason={reason:?} phase={:?}",
+            run.0, held.owner, held.phase
+        ));
+        self.report(held.owner, Report::NotStarted { task, run, reason }, out);
+    }
+
+    fn report(&self, owner: Owner, report: Report, out: &mut Vec<AgentOutput>) {
         // What is not told now is in the next inventory.
-        if self.told {
-            out.push(AgentOutput::Report(report));
+        if self.bosses.get(&owner).is_some_and(|boss| boss.told) {
+            out.push(AgentOutput::Report(owner, report));
         }
     }
 
@@ -604,7 +635,6 @@
         now: Millis,
         sent: Millis,
         term: Term,
-        extends: bool,
         reply: ServerReply,
         out: &mut Vec<AgentOutput>,
     ) {
@@ -612,95 +642,96 @@
             self.next_hold = now + HOLD_RETRY;
             return;
         };
-        if lists
-            .born
-            .is_some_and(|born| born != self.life() && self.life() > 1)
-        {
+        let life = self.life();
+        if lists.born.is_some_and(|born| born != life && life > 1) {
             self.lose_server("another life answered", out);
             return;
         }
         self.clock = Some((lists.clock, now));
-        let news = self.take_ends(&lists.ended, out);
-        self.take_running(now, sent, &lists.running, out);
-        if !self.told && self.linked && term == self.term {
-            self.tell(out);
-        }
-        let busy = !self.ends.is_empty();
-        self.next_hold = if busy { now + HOLD_PAUSE } else { now };
-        if (!busy || news || !extends) && self.holding == 0 && !busy {
+        let before = self.looked.map_or(Term(0), |(_, term)| term);
+        self.looked = Some((life, term.max(before)));
+        self.take_ends(now, &lists, out);
+        self.take_running(now, sent, &lists, out);
+        self.settle_claims();
+        self.tell_all(out);
+        if !self.ends.is_empty() {
+            self.next_hold = now + HOLD_PAUSE;
+        } else if self.holding == 0 {
             self.look(now, HOLD_WAIT, out);
         }
     }
 
-    /// Takes new ends; true when there were any.
-    fn take_ends(
-        &mut self,
-        ended: &[(u64, TaskId, Run, Ending)],
-        out: &mut Vec<AgentOutput>,
-    ) -> bool {
-        let mut news = Vec::new();
-        for (number, task, run, how) in ended {
+    fn take_ends(&mut self, now: Millis, lists: &Lists, out: &mut Vec<AgentOutput>) {
+        let life = self.life();
+        let first = self.ends.len();
+        for (number, task, run, how) in &lists.ended {
             if *number <= self.known_end {
                 continue;
             }
             self.known_end = *number;
-            self.runs.remove(&(*task, *run));
-            let end = End {
-                task: *task,
-                run: *run,
-                how: *how,
-            };
-            news.push((*number, end));
+            let held = self.runs.remove(&(*task, *run));
+            self.ends.push(HeldEnd {
+                number: *number,
+                end: End {
+                    task: *task,
+                    run: *run,
+                    how: *how,
+                },
+                owner: held.map_or(Owner::of_unknown(*run), |held| held.owner),
+                at: now,
+                recorded: false,
+            });
         }
-        if news.is_empty() {
-            return false;
+        self.others_due |= first < self.ends.len();
+        let mut by_owner: Table<Owner, Vec<(u64, End)>> = Table::default();
+        for end in &self.ends[first..] {
+            let rows = by_owner.or_insert_with(end.owner, Vec::new);
+            rows.push((end.number, end.end));
+        }
+        for (owner, ends) in by_owner.iter() {
+            let ends = ends.clone();
+            self.report(*owner, Report::Ends { life, ends }, out);
         }
-        self.ends.extend_from_slice(&news);
-        let life = self.life();
-        self.report(Report::Ends { life, ends: news }, out);
-        true
     }
 
     fn take_running(
         &mut self,
         now: Millis,
         sent: Millis,
-        running: &[(TaskId, Run, u32)],
+        lists: &Lists,
         out: &mut Vec<AgentOutput>,
     ) {
         let mut started = Vec::new();
-        for (task, run, percent) in running {
-            let fresh = Held {
-                phase: Phase::Running,
-                at: now,
-                percent: *percent,
-                doubted: false,
-            };
-            let held = self.runs.or_insert_with((*task, *run), || fresh);
+        for (task, run, percent) in &lists.running {
+            let key = (*task, *run);
+            let held = self.runs.or_insert_with(key, || Held::found(*run, now));
             held.percent = *percent;
-            held.doubted = false;
             if matches!(held.phase, Phase::Starting | Phase::Doubt) {
-                held.phase = Phase::Running;
-                started.push((*task, *run));
+                held.enter(Phase::Running, now);
+                started.push((key, held.owner));
             }
         }
-        for (task, run) in started {
-            self.report(Report::Started(task, run), out);
+        for ((task, run), owner) in started {
+            self.report(owner, Report::Started(task, run), out);
         }
-        self.take_missing(sent, running, out);
+        self.take_missing(now, sent, lists, out);
     }
 
     /// Settles the runs that a look, begun at `sent`, did not list.
     fn take_missing(
         &mut self,
+        now: Millis,
         sent: Millis,
-        running: &[(TaskId, Run, u32)],
+        lists: &Lists,
         out: &mut Vec<AgentOutput>,
     ) {
         let mut seal = Vec::new();
         let mut never = Vec::new();
         for (key, held) in self.runs.iter() {
-            let listed = running.iter().any(|(task, run, _)| (*task, *run) == *key);
+            let listed = lists
+                .running
+                .iter()
+                .any(|(task, run, _)| (*task, *run) == *key);
             if listed || held.at >= sent {
                 continue;
             }
@@ -712,79 +743,142 @@
         }
         for key in seal {
             // It may still arrive; a stopped run is refused when it does.
-            if let Some(held) = self.runs.get_mut(&key) {
-                held.phase = Phase::Stopping;
-                held.at = sent;
-            }
-            self.call_stop(key.0, key.1, out);
+            self.stop(now, key, out);
         }
-        for (task, run) in never {
-            self.runs.remove(&(task, run));
-            let reason = Denial::Unwell;
-            events::START_DENIED.log(format_args!(
-                "task={task} run={} by=agent reason=not-listed",
-                run.0
-            ));
-            self.report(Report::NotStarted { task, run, reason }, out);
+        for key in never {
+            self.not_started(key, Denial::Unwell, "agent", out);
         }
     }
 
     fn tick(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        self.stop_lapsed(now, out);
         if self.server.is_none() {
             return;
         }
-        if !self.runs.is_empty() && now > self.leased {
-            // Nothing can run there any more; its ends are listed when it answers.
-            events::LEASE_LAPSED.log(format_args!(
-                "life={} runs={}",
-                self.life(),
-                self.runs.len()
-            ));
-            self.runs = Table::default();
-            self.told = false;
-            if self.linked {
-                out.push(AgentOutput::Report(Report::Inventory {
-                    term: self.term,
-                    server: None,
-                    runs: Vec::new(),
-                }));
-            }
-        }
+        self.give_up_lapsed(now, out);
         if self.holding == 0 && now >= self.next_hold {
-            let wait = if self.ends.is_empty() && self.told {
+            let wait = if self.ends.is_empty() {
                 HOLD_WAIT
             } else {
                 Millis(0)
             };
             self.look(now, wait, out);
         }
-        let overdue = self
+        let overdue =
+            |held: &Held| held.phase == Phase::Stopping && now.since(held.at) >= STOP_RETRY;
+        let overdue: Vec<_> = self
             .runs
             .iter()
-            .filter(|(_, h)| h.phase == Phase::Stopping && now.since(h.at) >= STOP_RETRY);
-        let overdue: Vec<_> = overdue.map(|(key, _)| *key).collect();
+            .filter(|(_, h)| overdue(h))
+            .map(|(k, _)| *k)
+            .collect();
         for key in overdue {
-            if let Some(held) = self.runs.get_mut(&key) {
-                held.at = now;
-            }
-            self.call_stop(key.0, key.1, out);
+            self.stop(now, key, out);
         }
+        self.forget_unclaimed(now, out);
         self.tell_progress(now, out);
     }
 
+    /// Stops the runs of dispatchers whose grant has lapsed.
+    fn stop_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        let mut stop = Vec::new();
+        for (key, held) in self.runs.iter() {
+            let granted = self
+                .bosses
+                .get(&held.owner)
+                .map_or(Millis(0), |b| b.granted);
+            let unclaimed = held.owner == Owner::Unclaimed && now.since(held.at) < CLAIM_WITHIN;
+            if now >= granted && !unclaimed && !held.phase.is_stopping() {
+                stop.push((*key, held.owner));
+            }
+        }
+        for (key, owner) in stop {
+            events::GRANT_LAPSED.log(format_args!(
+                "task={} run={} owner={owner:?}",
+                key.0, key.1.0
+            ));
+            self.stop(now, key, out);
+        }
+        self.bosses.retain(|owner, boss| {
+            *owner == Owner::Group || boss.linked || now.since(boss.granted) < FORGET_AFTER
+        });
+    }
+
+    /// When the backend server's lease has run out without an answer, nothing can
+    /// run there any more; ends are listed when it answers again.
+    fn give_up_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        if self.runs.is_empty() || now <= self.leased {
+            return;
+        }
+        let runs = self.runs.len();
+        events::LEASE_LAPSED.log(format_args!("life={} runs={runs}", self.life()));
+        self.runs = Table::default();
+        self.looked = None;
+        for (owner, boss) in self.bosses.iter_mut() {
+            if boss.told {
+                boss.told = false;
+                let inventory = Report::Inventory {
+                    epoch: boss.epoch,
+                    server: None,
+                    runs: Vec::new(),
+                };
+                out.push(AgentOutput::Report(*owner, inventory));
+            }
+        }
+    }
+
+    /// Ends of dispatchers that are gone need no record.
+    fn forget_unclaimed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        for end in &mut self.ends {
+            let gone = match end.owner {
+                Owner::Group => false,
+                Owner::Entry(_) => self.bosses.get(&end.owner).is_none(),
+                Owner::Unclaimed => now.since(end.at) >= CLAIM_WITHIN,
+            };
+            let lost = end.owner != Owner::Group && end.end.how == Ending::Lost;
+            end.recorded |= gone || (lost && now.since(end.at) >= FORGET_AFTER);
+        }
+        self.drop_recorded(now, out);
+    }
+
     fn tell_progress(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
         if now.since(self.progress) < PROGRESS_EVERY {
             return;
         }
         self.progress = now;
-        let rows: Vec<_> = self
-            .runs
+        let mut by_owner: Table<Owner, Vec<(TaskId, Run, u32)>> = Table::default();
+        for ((task, run), held) in self.runs.iter() {
+            if held.phase == Phase::Running && now.since(held.at) >= PROGRESS_EVERY {
+                let rows = by_owner.or_insert_with(held.owner, Vec::new);
+                rows.push((*task, *run, held.percent));
+            }
+        }
+        for (owner, rows) in by_owner.iter() {
+            self.report(*owner, Report::Progress(rows.clone()), out);
+        }
+    }
+
+    /// Tells each dispatcher what the others' runs take.
+    fn tell_others(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        if !self.others_due || now.since(self.others_told) < OTHERS_EVERY {
+            return;
+        }
+        self.others_due = false;
+        self.others_told = now;
+        let told: Vec<_> = self
+            .bosses
             .iter()
-            .filter(|(_, h)| h.phase == Phase::Running && now.since(h.at) >= PROGRESS_EVERY)
-            .map(|((task, run), h)| (*task, *run, h.percent))
+            .filter(|(_, b)| b.told)
+            .map(|(o, _)| *o)
             .collect();
-        if !rows.is_empty() {
-            self.report(Report::Progress(rows), out);
+        for owner in told {
+            let used = self.used(Some(owner));
+            if let Some(boss) = self.bosses.get_mut(&owner)
+                && boss.others != Some(used)
+            {
+                boss.others = Some(used);
+                out.push(AgentOutput::Report(owner, Report::Others(used)));
+            }
         }
     }
 }
--- /dev/null
+++ b/src/dispatch/boss.rs
@@ -0,0 +1,61 @@
+//! What an agent knows of a dispatcher.
+
+use super::spec::{Resources, Run, TaskId};
+use crate::core::clock::Millis;
+
+/// Runs from here on are of jobs that are not stored: they are numbered by a wall
+/// clock, those of stored jobs by a term.
+const CLOCK_RUNS: u64 = 1 << 50;
+
+/// Whose run it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Owner {
+    /// The control group's leader, whoever that is.
+    Group,
+    /// An entry in one life.
+    Entry(u64),
+    /// Some entry: an earlier life of the agent started it.
+    Unclaimed,
+}
+
+impl Owner {
+    /// The owner of a run that this life of the agent did not start.
+    pub(crate) fn of_unknown(run: Run) -> Self {
+        if run.0 >= CLOCK_RUNS {
+            Self::Unclaimed
+        } else {
+            Self::Group
+        }
+    }
+}
+
+/// A dispatcher.
+#[derive(Debug, Default)]
+pub(crate) struct Boss {
+    /// Its term or life.
+    pub(crate) epoch: u64,
+    /// A session with it is up.
+    pub(crate) linked: bool,
+    /// It has the inventory over that session.
+    pub(crate) told: bool,
+    /// The agent may act for it until then.
+    pub(crate) granted: Millis,
+    /// Runs that it believes to be here.
+    pub(crate) claims: Vec<(TaskId, Run)>,
+    /// What it was last told of other dispatchers' use.
+    pub(crate) others: Option<Resources>,
+}
+
+impl Boss {
+    pub(crate) fn connect(&mut self, epoch: u64) {
+        self.epoch = epoch;
+        self.linked = true;
+        self.told = false;
+        self.others = None;
+    }
+
+    pub(crate) fn disconnect(&mut self) {
+        self.linked = false;
+        self.told = false;
+    }
+}
--- a/src/dispatch/leader.rs
+++ b/src/dispatch/dispatcher.rs
@@ -1,4 +1,7 @@
-//! The leader's dispatching: which task starts where, and what becomes of it.
+//! Dispatching: which task starts where, and what becomes of it.
+//!
+//! The control group's leader dispatches the stored jobs, each entry those jobs of
+//! its callers that are not stored.
 
 use super::book::{Book, Change, End, Entry, Job, OpenJob};
 use super::live::{LiveJob, Phase, Rank};
@@ -10,15 +13,23 @@
 use crate::core::table::Table;
 use crate::events;
 
-/// An agent may act so long after it asked; an election fits in.
-pub(crate) const GRANT: Millis = Millis(1_500);
+/// An agent may act for the group so long after it asked; an election fits in.
+pub(crate) const GROUP_GRANT: Millis = Millis(1_500);
+/// An agent may act for an entry so long after it asked. A caller that lost its
+/// entry submits again after 1.3 s; the agent has stopped the job's runs by then.
+pub(crate) const ENTRY_GRANT: Millis = Millis(800);
 /// Added to grant and lease before a silent worker counts as empty: clock drift
 /// and hops.
 const LAPSE_MARGIN: Millis = Millis(250);
 /// The backend server's clock may run so much slow, in percent.
 const DRIFT_PERCENT: u64 = 2;
-/// Bits of a run below the term.
-const RUN_BITS: u32 = 32;
+/// Bits of a stored job's run below the term.
+const TERM_BITS: u32 = 32;
+/// Runs per millisecond of an entry's wall clock.
+const RUNS_PER_MS: u64 = 1_024;
+/// Added to an entry's runs when one was too low: another entry's clock is ahead,
+/// by less than an hour.
+const RUN_LEAP: u64 = 3_600_000 * RUNS_PER_MS;
 /// Jobs that find no room in a row before the rest is left for later.
 const MISSES: usize = 12;
 /// How often the waiting jobs are ranked anew.
@@ -35,25 +46,47 @@
 const RATIO_WEIGHT: f64 = 0.05;
 /// Data elsewhere makes a task so much slower, for placement.
 const OTHER_RACK: f64 = 1.5;
-/// A run whose job nobody has submitted to this leader is stopped after this time:
-/// callers submit again a little earlier.
-const ORPHAN_AFTER: Millis = Millis(1_500);
 /// An agent that has been gone so long is no longer waited for at a take-over.
 const DISMISS_AFTER: Millis = Millis(60_000);
 
-/// What the leader wants done.
+/// What a dispatcher wants done.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum LeaderOutput {
+pub(crate) enum DispatchOutput {
     Propose(Entry),
     Down(SessionId, Down),
     /// A job that is not stored has ended.
     Ended(JobId, State),
 }
 
-/// The dispatcher of one leadership.
+/// Whose jobs a dispatcher runs; it decides how its runs are numbered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reign {
+    /// The group's leader in a term.
+    Group(Term),
+    /// An entry in one life.
+    Entry(u64),
+}
+
+impl Reign {
+    pub(crate) fn epoch(self) -> u64 {
+        match self {
+            Self::Group(term) => term.0,
+            Self::Entry(life) => life,
+        }
+    }
+
+    pub(crate) fn grant(self) -> Millis {
+        match self {
+            Self::Group(_) => GROUP_GRANT,
+            Self::Entry(_) => ENTRY_GRANT,
+        }
+    }
+}
+
+/// The dispatcher of one leadership, or of one life of an entry.
 #[derive(Debug)]
-pub(crate) struct Leader {
-    term: Term,
+pub(crate) struct Dispatcher {
+    reign: Reign,
     // Longest lease of a backend server.
     hold: Millis,
     workers: Vec<Worker>,
@@ -69,54 +102,59 @@
     ended: Vec<(Millis, JobId)>,
     // Duration against estimate, by queue's service and priority.
     ratios: Table<(String, u32), f64>,
-    runs: u64,
+    last_run: u64,
     ranked: Millis,
     searched: Millis,
 }
 
-impl Leader {
-    /// Takes up all jobs of the book at the start of a term.
-    pub(crate) fn new(term: Term, hold: Millis, book: &Book, now: Millis) -> Self {
-        let mut leader = Self {
-            term,
+impl Dispatcher {
+    /// A dispatcher without jobs.
+    pub(crate) fn new(reign: Reign, hold: Millis, now: Millis) -> Self {
+        Self {
+            reign,
             hold,
             workers: Vec::new(),
             by_agent: Table::default(),
             jobs: Table::default(),
             waiting: Vec::new(),
-            awaited: book.agents.clone(),
+            awaited: Vec::new(),
             await_until: now,
             ended: Vec::new(),
             ratios: Table::default(),
-            runs: 0,
+            last_run: 0,
             ranked: now,
             searched: now,
-        };
-        leader.await_until = now + leader.lapse();
+        }
+    }
+
+    /// Takes up all jobs of the book at the start of a term.
+    pub(crate) fn take_over(term: Term, hold: Millis, book: &Book, now: Millis) -> Self {
+        let mut new = Self::new(Reign::Group(term), hold, now);
+        new.awaited.clone_from(&book.agents);
+        new.await_until = now + new.lapse();
         for (id, job) in book.jobs.iter() {
             match job {
                 Job::Open(job) => {
-                    leader
-                        .jobs
-                        .insert(*id, LiveJob::new(job, now, Phase::Unknown, false));
+                    let live = LiveJob::new(job, now, Phase::Unknown, false);
+                    new.jobs.insert(*id, live);
                 }
-                Job::Ended(_) => leader.ended.push((now, *id)),
+                Job::Ended(_) => new.ended.push((now, *id)),
             }
         }
         events::TAKE_OVER.log(format_args!(
             "term={} open={} awaited={}",
             term.0,
-            leader.jobs.len(),
-            leader.awaited.len()
+            new.jobs.len(),
+            new.awaited.len()
         ));
-        leader.settle_awaited(now);
-        leader
+        new.settle_awaited(now);
+        new
     }
 
     /// After so long without a grant a worker runs nothing.
     fn lapse(&self) -> Millis {
         let hold = self.hold.0;
-        GRANT + Millis(hold + hold * DRIFT_PERCENT / 100) + LAPSE_MARGIN
+        self.reign.grant() + Millis(hold + hold * DRIFT_PERCENT / 100) + LAPSE_MARGIN
     }
 
     /// Makes the tasks of unknown state startable once no unheard agent can hold
@@ -179,7 +217,7 @@
         now: Millis,
         book: &Book,
         change: &Change,
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) {
         match change {
             Change::Accepted(id) => {
@@ -194,7 +232,7 @@
         }
     }
 
-    fn on_recorded(&mut self, now: Millis, book: &Book, end: &End, out: &mut Vec<LeaderOutput>) {
+    fn on_recorded(&mut self, now: Millis, book: &Book, end: &End, out: &mut Vec<DispatchOutput>) {
         for worker in &mut self.workers {
             if worker.recorded(end) {
                 tell_recorded(worker, out);
@@ -219,7 +257,7 @@
         }
     }
 
-    fn on_ended(&mut self, now: Millis, id: JobId, state: State, out: &mut Vec<LeaderOutput>) {
+    fn on_ended(&mut self, now: Millis, id: JobId, state: State, out: &mut Vec<DispatchOutput>) {
         self.ended.push((now, id));
         self.drop_job(now, id, Some(state), out);
     }
@@ -230,7 +268,7 @@
         now: Millis,
         id: JobId,
         state: Option<State>,
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) {
         self.waiting.retain(|(_, known)| *known != id);
         let job = self.jobs.remove(&id);
@@ -247,32 +285,23 @@
                         task: *task,
                         run: *run,
                     };
-                    out.push(LeaderOutput::Down(session, Down::Order(order)));
+                    out.push(DispatchOutput::Down(session, Down::Order(order)));
                 }
             }
         }
     }
 
-    /// Takes a job that is not stored. What a former life of it left running is
-    /// taken over.
-    pub(crate) fn submit_loose(&mut self, now: Millis, id: JobId, job: &OpenJob) {
-        let phase = if self.awaited.is_empty() {
-            Phase::Ready
-        } else {
-            Phase::Unknown
-        };
-        let mut live = LiveJob::new(job, now, phase, true);
-        for (at, worker) in self.workers.iter_mut().enumerate() {
-            for ((task, run), placed) in worker.runs.iter_mut() {
-                if task.job != id {
-                    continue;
-                }
-                if let Some(known) = live.task_mut(*task)
-                    && *run > known.run
+    /// Takes a job that is not stored. What runs of it are still being stopped come
+    /// to their end first.
+    pub(crate) fn submit(&mut self, now: Millis, id: JobId, job: &OpenJob) {
+        let mut live = LiveJob::new(job, now, Phase::Ready, true);
+        for (at, worker) in self.workers.iter().enumerate() {
+            for ((task, run), _) in worker.runs.iter() {
+                if task.job == id
+                    && let Some(known) = live.task_mut(*task)
                 {
                     known.phase = Phase::On(WorkerId(at));
                     known.run = *run;
-                    placed.need = live.need(*task);
                 }
             }
         }
@@ -281,25 +310,45 @@
     }
 
     /// Nobody waits for this job any more.
-    pub(crate) fn abandon(&mut self, now: Millis, id: JobId, out: &mut Vec<LeaderOutput>) {
+    pub(crate) fn abandon(&mut self, now: Millis, id: JobId, out: &mut Vec<DispatchOutput>) {
         if self.jobs.get(&id).is_some_and(|j| j.loose) {
             self.drop_job(now, id, None, out);
         }
     }
 
+    /// True once a run of the job has been ordered.
+    pub(crate) fn has_ordered(&self, id: JobId) -> bool {
+        let ordered = |job: &LiveJob| job.tasks.iter().flatten().any(|t| t.run.0 > 0);
+        self.jobs.get(&id).is_some_and(ordered)
+    }
+
+    /// True when a job that starts now cannot end in time to be of use.
+    pub(crate) fn is_overdue(&self, now: Millis, id: JobId) -> bool {
+        let job = self.jobs.get(&id);
+        job.is_some_and(|job| matches!(job.rank(now), Rank::Overdue(..)))
+    }
+
     /// True while a job is open here.
     pub(crate) fn holds(&self, id: JobId) -> bool {
         self.jobs.get(&id).is_some()
     }
 
-    /// An agent's session is up.
-    pub(crate) fn connected(&mut self, now: Millis, agent: &str, session: SessionId) {
+    /// An agent's session is up; returns the runs that it should hold.
+    pub(crate) fn connected(
+        &mut self,
+        now: Millis,
+        agent: &str,
+        session: SessionId,
+    ) -> Vec<(TaskId, Run)> {
         let id = self.worker_id(now, agent);
         let worker = &mut self.workers[id.0];
         worker.session = Some(session);
         worker.ready = false;
         worker.heard = now;
         worker.granted = now;
+        // Only a later leader of the group must know whom to wait for.
+        worker.enrolled |= matches!(self.reign, Reign::Entry(_));
+        worker.runs.iter().map(|(key, _)| *key).collect()
     }
 
     fn worker_id(&mut self, now: Millis, agent: &str) -> WorkerId {
@@ -349,18 +398,22 @@
     pub(crate) fn report(
         &mut self,
         now: Millis,
-        book: &Book,
+        book: Option<&Book>,
         session: SessionId,
         report: Report,
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) {
         let Some(id) = self.by_session(session) else {
             return;
         };
         self.workers[id.0].heard = now;
         match report {
-            Report::Inventory { term, server, runs } => {
-                if term == self.term {
+            Report::Inventory {
+                epoch,
+                server,
+                runs,
+            } => {
+                if epoch == self.reign.epoch() {
                     self.take_inventory(now, book, id, server, &runs, out);
                 }
             }
@@ -375,6 +428,7 @@
                 self.on_not_started(now, id, (task, run), reason);
             }
             Report::Ends { life, ends } => self.on_ends(now, id, life, &ends, out),
+            Report::Others(used) => self.workers[id.0].others = used,
             Report::Progress(rows) => {
                 for (task, run, percent) in rows {
                     if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
@@ -388,11 +442,11 @@
     fn take_inventory(
         &mut self,
         now: Millis,
-        book: &Book,
+        book: Option<&Book>,
         id: WorkerId,
         server: Option<Server>,
         runs: &[(TaskId, Run)],
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) {
         let worker = &mut self.workers[id.0];
         if server.as_ref().map_or(0, |s| s.life) != worker.life() {
@@ -419,12 +473,12 @@
             self.release(now, id, key);
         }
         for key in runs {
-            self.adopt(now, book, id, *key, out);
+            self.adopt(now, id, *key, out);
         }
-        if book.agents.binary_search(&agent).is_ok() {
+        if book.is_some_and(|book| book.agents.binary_search(&agent).is_ok()) {
             self.workers[id.0].enrolled = true;
-        } else {
-            out.push(LeaderOutput::Propose(Entry::Enroll(agent.clone())));
+        } else if matches!(self.reign, Reign::Group(_)) {
+            out.push(DispatchOutput::Propose(Entry::Enroll(agent.clone())));
         }
         if let Ok(at) = self.awaited.binary_search(&agent) {
             self.awaited.remove(at);
@@ -446,10 +500,9 @@
     fn adopt(
         &mut self,
         now: Millis,
-        book: &Book,
         id: WorkerId,
         (task, run): (TaskId, Run),
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) {
         if self.workers[id.0].runs.get(&(task, run)).is_some() {
             return;
@@ -458,8 +511,7 @@
         let need = job.map_or(Resources::default(), |j| j.need(task));
         let estimate = job.map_or(Millis(0), |j| j.estimate(task));
         let live = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
-        // Of a job that is not here yet: its caller may submit it again.
-        let mut wanted = live.is_none() && book.jobs.get(&task.job).is_none();
+        let mut wanted = false;
         if let Some(live) = live
             && live.phase == Phase::Unknown
         {
@@ -479,7 +531,7 @@
         let worker = &mut self.workers[id.0];
         worker.put((task, run), placed);
         if let (false, Some(session)) = (wanted, worker.session) {
-            out.push(LeaderOutput::Down(
+            out.push(DispatchOutput::Down(
                 session,
                 Down::Order(Order::Stop { task, run }),
             ));
@@ -532,6 +584,9 @@
             "task={} run={} agent={} reason={reason:?}",
             key.0, key.1.0, self.workers[id.0].agent
         ));
+        if reason == Denial::Stale {
+            self.last_run = self.last_run.max(key.1.0) + RUN_LEAP;
+        }
         if reason == Denial::Unwell {
             self.workers[id.0].failed(now);
         }
@@ -551,7 +606,7 @@
         id: WorkerId,
         life: u64,
         ends: &[(u64, End)],
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) {
         if self.workers[id.0].life() == 0 {
             // The inventory, which follows, names the backend server.
@@ -574,7 +629,7 @@
         if record.is_empty() {
             tell_recorded(&self.workers[id.0], out);
         } else {
-            out.push(LeaderOutput::Propose(Entry::Ends(record)));
+            out.push(DispatchOutput::Propose(Entry::Ends(record)));
         }
     }
 
@@ -584,7 +639,7 @@
         now: Millis,
         id: WorkerId,
         end: &End,
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) -> bool {
         let key = (end.task, end.run);
         let placed = self.workers[id.0].take(key);
@@ -627,7 +682,7 @@
         let recorded = !loose && end.how != Ending::Lost;
         if loose && let Some(state) = job.outcome() {
             self.drop_job(now, end.task.job, Some(state), out);
-            out.push(LeaderOutput::Ended(end.task.job, state));
+            out.push(DispatchOutput::Ended(end.task.job, state));
         } else if !recorded {
             self.queue(now, end.task.job);
         }
@@ -656,7 +711,7 @@
     }
 
     /// Regular work: silent workers, slow runs, old outcomes.
-    pub(crate) fn tick(&mut self, now: Millis, keep: Millis, out: &mut Vec<LeaderOutput>) {
+    pub(crate) fn tick(&mut self, now: Millis, keep: Millis, out: &mut Vec<DispatchOutput>) {
         if !self.awaited.is_empty() {
             self.settle_awaited(now);
         }
@@ -669,15 +724,16 @@
             }
             let worker = &mut self.workers[at];
             let gone = now.since(worker.granted) > DISMISS_AFTER && worker.session.is_none();
-            if gone && worker.enrolled {
+            if gone && worker.enrolled && matches!(self.reign, Reign::Group(_)) {
                 worker.enrolled = false;
-                out.push(LeaderOutput::Propose(Entry::Dismiss(worker.agent.clone())));
+                out.push(DispatchOutput::Propose(Entry::Dismiss(
+                    worker.agent.clone(),
+                )));
             }
         }
         if now.since(self.searched) >= SLOW_EVERY {
             self.searched = now;
             self.move_slow(now, out);
-            self.stop_orphans(now, out);
         }
         if now.since(self.ranked) >= RANK_EVERY {
             self.ranked = now;
@@ -696,36 +752,16 @@
         self.waiting.sort_unstable();
     }
 
-    fn forget(&mut self, now: Millis, keep: Millis, out: &mut Vec<LeaderOutput>) {
+    fn forget(&mut self, now: Millis, keep: Millis, out: &mut Vec<DispatchOutput>) {
         let old = self.ended.partition_point(|(at, _)| now.since(*at) > keep);
         if old > 0 {
             let ids = self.ended.drain(..old).map(|(_, id)| id).collect();
-            out.push(LeaderOutput::Propose(Entry::Forget(ids)));
-        }
-    }
-
-    /// Stops runs that a former leader ordered for jobs that did not come back.
-    fn stop_orphans(&mut self, now: Millis, out: &mut Vec<LeaderOutput>) {
-        for worker in &mut self.workers {
-            let Some(session) = worker.session else {
-                continue;
-            };
-            for ((task, run), placed) in worker.runs.iter_mut() {
-                let orphan = self.jobs.get(&task.job).is_none();
-                if orphan && !placed.stopping && now.since(placed.ordered) > ORPHAN_AFTER {
-                    placed.stopping = true;
-                    let order = Order::Stop {
-                        task: *task,
-                        run: *run,
-                    };
-                    out.push(LeaderOutput::Down(session, Down::Order(order)));
-                }
-            }
+            out.push(DispatchOutput::Propose(Entry::Forget(ids)));
         }
     }
 
     /// Stops runs that stand still or crawl, so that they start elsewhere.
-    fn move_slow(&mut self, now: Millis, out: &mut Vec<LeaderOutput>) {
+    fn move_slow(&mut self, now: Millis, out: &mut Vec<DispatchOutput>) {
         let mut slow = Vec::new();
         for (at, worker) in self.workers.iter().enumerate() {
             for (key, placed) in worker.runs.iter() {
@@ -759,7 +795,7 @@
                     now.since(placed.ordered).0
                 ));
             }
-            out.push(LeaderOutput::Down(
+            out.push(DispatchOutput::Down(
                 session,
                 Down::Order(Order::Stop { task, run }),
             ));
@@ -767,16 +803,25 @@
     }
 
     /// Starts what can be started.
-    pub(crate) fn place(&mut self, now: Millis, book: &Book, out: &mut Vec<LeaderOutput>) {
+    pub(crate) fn place(
+        &mut self,
+        now: Millis,
+        wall: Millis,
+        closed: &[String],
+        out: &mut Vec<DispatchOutput>,
+    ) {
         if self.waiting.is_empty() {
             return;
         }
+        if let Reign::Entry(_) = self.reign {
+            self.last_run = self.last_run.max(wall.0 * RUNS_PER_MS);
+        }
         let mut misses = 0;
         let mut left = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting).into_iter();
         for (rank, id) in waiting.by_ref() {
             let before = out.len();
-            if self.place_job(now, book, id, out) {
+            if self.place_job(now, closed, id, out) {
                 continue;
             }
             left.push((rank, id));
@@ -796,9 +841,9 @@
     fn place_job(
         &mut self,
         now: Millis,
-        book: &Book,
+        closed: &[String],
         id: JobId,
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) -> bool {
         let Some(mut live) = self.jobs.remove(&id) else {
             return true;
@@ -818,7 +863,7 @@
                     step: u32::try_from(step).unwrap_or(u32::MAX),
                     index: u32::try_from(index).unwrap_or(u32::MAX),
                 };
-                if !self.place_task(now, book, &mut live, key, out) {
+                if !self.place_task(now, closed, &mut live, key, out) {
                     whole = false;
                     break;
                 }
@@ -831,17 +876,20 @@
     fn place_task(
         &mut self,
         now: Millis,
-        book: &Book,
+        closed: &[String],
         job: &mut LiveJob,
         key: TaskId,
-        out: &mut Vec<LeaderOutput>,
+        out: &mut Vec<DispatchOutput>,
     ) -> bool {
         let avoid = job.task_mut(key).and_then(|t| t.avoid);
-        let Some(id) = self.choose(now, book, &job.plan, key, avoid) else {
+        let Some(id) = self.choose(now, closed, &job.plan, key, avoid) else {
             return false;
         };
-        self.runs += 1;
-        let run = Run((self.term.0 << RUN_BITS) + self.runs);
+        self.last_run += 1;
+        let run = match self.reign {
+            Reign::Group(term) => Run((term.0 << TERM_BITS) + self.last_run),
+            Reign::Entry(_) => Run(self.last_run),
+        };
         if let Some(task) = job.task_mut(key) {
             task.phase = Phase::On(id);
             task.run = run;
@@ -868,9 +916,10 @@
                 life,
                 task: key,
                 run,
+                need: job.need(key),
                 payload: job.plan.payload.clone(),
             };
-            out.push(LeaderOutput::Down(session, Down::Order(order)));
+            out.push(DispatchOutput::Down(session, Down::Order(order)));
         }
         true
     }
@@ -879,7 +928,7 @@
     fn choose(
         &self,
         now: Millis,
-        book: &Book,
+        closed: &[String],
         plan: &Plan,
         key: TaskId,
         avoid: Option<WorkerId>,
@@ -890,8 +939,10 @@
             let Some(server) = worker.open(now) else {
                 continue;
             };
-            let fits = server.capacity.fits(worker.used, step.need);
-            let out = book.out.binary_search(&server.place).is_ok();
+            let mut used = worker.used;
+            used.add(worker.others);
+            let fits = server.capacity.fits(used, step.need);
+            let out = closed.binary_search(&server.place).is_ok();
             let labelled = step
                 .label
                 .as_ref()
@@ -914,7 +965,7 @@
                 cost *= 4.0;
             }
             // Among equals the one with the most room.
-            let full = f64::from(worker.used.cpu) / f64::from(server.capacity.cpu.max(1));
+            let full = f64::from(used.cpu) / f64::from(server.capacity.cpu.max(1));
             cost += full * 0.05;
             if best.is_none_or(|(known, _)| cost < known) {
                 best = Some((cost, WorkerId(at)));
@@ -924,13 +975,13 @@
     }
 }
 
-fn tell_recorded(worker: &Worker, out: &mut Vec<LeaderOutput>) {
+fn tell_recorded(worker: &Worker, out: &mut Vec<DispatchOutput>) {
     if let Some(session) = worker.session {
         let down = Down::Recorded {
             life: worker.life(),
             upto: worker.recorded_upto(),
         };
-        out.push(LeaderOutput::Down(session, down));
+        out.push(DispatchOutput::Down(session, down));
     }
 }
 
--- /dev/null
+++ b/src/dispatch/held.rs
@@ -0,0 +1,77 @@
+//! Runs and ends that an agent holds.
+
+use super::book::End;
+use super::boss::Owner;
+use super::spec::{Resources, Run};
+use crate::core::clock::Millis;
+
+/// Where a run stands at its agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The start is on its way.
+    Starting,
+    Running,
+    /// The start got no answer.
+    Doubt,
+    /// The run must end; the stop is on its way.
+    Stopping,
+    /// The stop was answered.
+    Stopped,
+}
+
+impl Phase {
+    pub(crate) fn is_stopping(self) -> bool {
+        matches!(self, Self::Stopping | Self::Stopped)
+    }
+}
+
+/// A run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Held {
+    pub(crate) owner: Owner,
+    pub(crate) need: Resources,
+    pub(crate) phase: Phase,
+    /// When the phase began, or the last stop was sent.
+    pub(crate) at: Millis,
+    pub(crate) percent: u32,
+}
+
+impl Held {
+    pub(crate) fn starting(owner: Owner, need: Resources, now: Millis) -> Self {
+        Self {
+            owner,
+            need,
+            phase: Phase::Starting,
+            at: now,
+            percent: 0,
+        }
+    }
+
+    /// A run that an earlier life of the agent started; what it takes is not known.
+    pub(crate) fn found(run: Run, now: Millis) -> Self {
+        Self {
+            owner: Owner::of_unknown(run),
+            need: Resources::default(),
+            phase: Phase::Running,
+            at: now,
+            percent: 0,
+        }
+    }
+
+    pub(crate) fn enter(&mut self, phase: Phase, now: Millis) {
+        self.phase = phase;
+        self.at = now;
+    }
+}
+
+/// The end of a run, until the backend server may forget it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldEnd {
+    /// Its number within the backend server's life.
+    pub(crate) number: u64,
+    pub(crate) end: End,
+    pub(crate) owner: Owner,
+    /// When the agent learned of it.
+    pub(crate) at: Millis,
+    pub(crate) recorded: bool,
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,12 +6,15 @@
 
 pub(crate) mod agent;
 pub(crate) mod book;
+pub(crate) mod boss;
 pub(crate) mod call;
-pub(crate) mod entry;
-pub(crate) mod leader;
+pub(crate) mod desk;
+pub(crate) mod dispatcher;
+pub(crate) mod held;
 pub(crate) mod live;
 pub(crate) mod replica;
 pub(crate) mod routes;
+pub(crate) mod server_call;
 pub(crate) mod spec;
 pub(crate) mod wire;
 pub(crate) mod worker;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -2,13 +2,14 @@
 //! the dispatcher.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use snafu::{ResultExt, Snafu};
 
-use super::book::{Book, Change, Entry, Job, OpenJob};
+use super::book::{Book, Change, Entry, Job};
 use super::call::{Call, Reply, Want};
-use super::leader::{GRANT, Leader, LeaderOutput};
+use super::dispatcher::{DispatchOutput, Dispatcher, GROUP_GRANT};
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, Setup, State, Terms};
 use super::wire::{Down, Up, Who};
@@ -23,9 +24,6 @@
 const SNAPSHOT_AFTER: usize = 8_000;
 /// Kept beyond the time that callers may ask for an outcome.
 const KEEP_MARGIN: Millis = Millis(10_000);
-/// How long the outcome of a job that is not stored is kept: its caller submits it
-/// again a little later when the answer was lost.
-const RECENT: Millis = Millis(5_000);
 /// What a caller is told to wait when a call was not taken.
 const RETRY_AFTER: Millis = Millis(1_000);
 
@@ -93,7 +91,7 @@
     raft: Raft,
     book: Book,
     times: ReplicaTimes,
-    lead: Option<Leader>,
+    lead: Option<Dispatcher>,
     sessions: Table<SessionId, Who>,
     // Proposals in log order.
     pending: VecDeque<(Index, Waiter)>,
@@ -102,12 +100,11 @@
     // What was last told to all sessions.
     told: Option<(bool, Term, Vec<u64>)>,
     raw: Vec<RaftOutput>,
-    acts: Vec<LeaderOutput>,
-    // Who waits for the end of a job that is not stored.
-    callers: Table<JobId, Vec<Origin>>,
-    // Jobs that were not stored and ended lately, with the time of that.
-    recent: Table<JobId, (Millis, State)>,
-    swept: Millis,
+    acts: Vec<DispatchOutput>,
+    // What was last told of data centres, configuration and entries.
+    told_out: Option<Vec<String>>,
+    told_setup: Option<u64>,
+    told_entries: Vec<u64>,
 }
 
 impl Replica {
@@ -125,9 +122,9 @@
             told: None,
             raw: Vec::new(),
             acts: Vec::new(),
-            callers: Table::default(),
-            recent: Table::default(),
-            swept: Millis(0),
+            told_out: None,
+            told_setup: None,
+            told_entries: Vec::new(),
         })
     }
 
@@ -160,10 +157,6 @@
                 if let Some(lead) = &mut self.lead {
                     lead.disconnected(session);
                 }
-                self.leave(
-                    now,
-                    |origin| matches!(origin, Origin::Session(s, _) if *s == session),
-                );
             }
             ReplicaInput::Call(token, call) => self.call(now, Origin::Local(token), call, out),
             ReplicaInput::Tick => self.tick(now),
@@ -181,10 +174,6 @@
             let keep = self.times.keep + KEEP_MARGIN;
             lead.tick(now, keep, &mut self.acts);
         }
-        if now.since(self.swept) >= RECENT {
-            self.swept = now;
-            self.recent.retain(|_, (at, _)| now.since(*at) < RECENT);
-        }
     }
 
     /// Ends a turn: starts tasks, proposes what has gathered, tells of changes of
@@ -194,27 +183,27 @@
         now: Millis,
         out: &mut Vec<ReplicaOutput>,
     ) -> Result<(), ReplicaError> {
-        self.take_lead(now, out);
+        self.take_lead(now);
         if self.raft.holds_lease(now)
             && let Some(lead) = &mut self.lead
         {
-            lead.place(now, &self.book, &mut self.acts);
+            lead.place(now, Millis(0), &self.book.out, &mut self.acts);
         }
-        self.take_acts(now, out);
+        self.take_acts(out);
         self.propose(now, out)?;
         self.take_raft(now, out)?;
-        self.take_acts(now, out);
-        self.tell_status(now, out);
+        self.take_acts(out);
+        self.tell_status(out);
+        self.tell_news(out);
         self.compact(out)
     }
 
     /// Becomes the dispatcher once all entries of former terms are applied.
-    fn take_lead(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
+    fn take_lead(&mut self, now: Millis) {
         let term = self.raft.term();
         if !self.raft.is_leader() {
             if self.lead.take().is_some() {
                 events::LEADER.log(format_args!("leads=false term={}", term.0));
-                self.give_up_callers(out);
             }
             return;
         }
@@ -222,25 +211,17 @@
             return;
         }
         events::LEADER.log(format_args!("leads=true term={}", term.0));
-        let mut lead = Leader::new(term, self.times.hold, &self.book, now);
+        let mut lead = Dispatcher::take_over(term, self.times.hold, &self.book, now);
         for (session, who) in self.sessions.iter() {
             if let Who::Agent(name) = who {
-                lead.connected(now, name, *session);
+                let _ = lead.connected(now, name, *session);
             }
         }
         self.lead = Some(lead);
     }
 
-    /// Lets the callers of jobs that are not stored ask the next leader.
-    fn give_up_callers(&mut self, out: &mut Vec<ReplicaOutput>) {
-        for (_, origins) in std::mem::take(&mut self.callers).iter() {
-            out.extend(origins.iter().map(|origin| answer(*origin, Reply::Unknown)));
-        }
-        self.recent = Table::default();
-    }
-
-    fn tell_status(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
-        let status = self.status(now);
+    fn tell_status(&mut self, out: &mut Vec<ReplicaOutput>) {
+        let status = self.status();
         if self.told.as_ref() == Some(&status) {
             return;
         }
@@ -257,7 +238,80 @@
         }
     }
 
-    fn status(&self, _now: Millis) -> (bool, Term, Vec<u64>) {
+    /// Tells entries and agents, as the leader, what changed.
+    fn tell_news(&mut self, out: &mut Vec<ReplicaOutput>) {
+        if self.lead.is_none() {
+            self.told_out = None;
+            self.told_setup = None;
+            self.told_entries.clear();
+            return;
+        }
+        if self.told_out.as_ref() != Some(&self.book.out) {
+            self.told_out = Some(self.book.out.clone());
+            self.tell_all(&self.news_out(), |_| true, out);
+        }
+        let version = self.book.setup.as_ref().map(|s| s.version);
+        if self.told_setup != version {
+            self.told_setup = version;
+            if let Some(down) = self.news_setup() {
+                self.tell_all(&down, is_entry, out);
+            }
+        }
+        let entries = self.entries();
+        if self.told_entries != entries {
+            self.told_entries.clone_from(&entries);
+            self.tell_all(&Down::Entries(entries), |who| !is_entry(who), out);
+        }
+    }
+
+    fn news_out(&self) -> Down {
+        Down::Out(self.book.applied, self.book.out.clone())
+    }
+
+    fn news_setup(&self) -> Option<Down> {
+        let setup = self.book.setup.as_ref()?;
+        let short = Setup {
+            document: Vec::new(),
+            ..setup.clone()
+        };
+        Some(Down::Setup(Arc::new(short)))
+    }
+
+    fn entries(&self) -> Vec<u64> {
+        let mut entries = Vec::new();
+        for (_, who) in self.sessions.iter() {
+            if let Who::Entry(_, address) = who {
+                entries.push(*address);
+            }
+        }
+        entries.sort_unstable();
+        entries.dedup();
+        entries
+    }
+
+    fn tell_all(&self, down: &Down, whom: fn(&Who) -> bool, out: &mut Vec<ReplicaOutput>) {
+        for (session, who) in self.sessions.iter() {
+            if whom(who) {
+                out.push(ReplicaOutput::Down(*session, down.clone()));
+            }
+        }
+    }
+
+    /// Brings a new session up to date.
+    fn greet(&self, session: SessionId, who: &Who, out: &mut Vec<ReplicaOutput>) {
+        if self.lead.is_none() {
+            return;
+        }
+        out.push(ReplicaOutput::Down(session, self.news_out()));
+        if !is_entry(who) {
+            let entries = Down::Entries(self.entries());
+            out.push(ReplicaOutput::Down(session, entries));
+        } else if let Some(down) = self.news_setup() {
+            out.push(ReplicaOutput::Down(session, down));
+        }
+    }
+
+    fn status(&self) -> (bool, Term, Vec<u64>) {
         let members = self.raft.members().iter().map(|id| id.0).collect();
         (self.lead.is_some(), self.raft.term(), members)
     }
@@ -266,16 +320,18 @@
         match up {
             Up::Hello(who) => {
                 if let (Who::Agent(name), Some(lead)) = (&who, &mut self.lead) {
-                    lead.connected(now, name, session);
+                    // The group's runs are settled by the agent's inventory.
+                    let _ = lead.connected(now, name, session);
                 }
-                self.sessions.insert(session, who);
-                let (leads, term, members) = self.status(now);
+                let (leads, term, members) = self.status();
                 let down = Down::Status {
                     leads,
                     term,
                     members,
                 };
                 out.push(ReplicaOutput::Down(session, down));
+                self.greet(session, &who, out);
+                self.sessions.insert(session, who);
             }
             Up::Beat(at) => {
                 let leads = self.raft.holds_lease(now);
@@ -283,17 +339,13 @@
                     Some(lead) if leads => lead.beat(now, session),
                     _ => false,
                 };
-                let grant = known.then_some(GRANT);
+                let grant = known.then_some(GROUP_GRANT);
                 out.push(ReplicaOutput::Down(session, Down::Beat { at, grant }));
             }
             Up::Call(number, call) => self.call(now, Origin::Session(session, number), call, out),
-            Up::Drop(number) => {
-                let gone = Origin::Session(session, number);
-                self.leave(now, |origin| *origin == gone);
-            }
             Up::Report(report) => {
                 if let Some(lead) = &mut self.lead {
-                    lead.report(now, &self.book, session, report, &mut self.acts);
+                    lead.report(now, Some(&self.book), session, report, &mut self.acts);
                 }
             }
             Up::Peer(message) => {
@@ -310,7 +362,7 @@
             return;
         }
         let reply = match call {
-            Call::Client { host, path, want } => self.client(now, origin, &host, &path, want),
+            Call::Client { host, path, want } => self.client(origin, &host, &path, want),
             Call::PutSetup(None) => Some(Reply::Invalid("not a valid configuration".to_owned())),
             Call::PutSetup(Some(setup)) => self.put_setup(origin, setup),
             Call::GetSetup => Some(match &self.book.setup {
@@ -339,14 +391,7 @@
         None
     }
 
-    fn client(
-        &mut self,
-        now: Millis,
-        origin: Origin,
-        host: &str,
-        path: &str,
-        want: Want,
-    ) -> Option<Reply> {
+    fn client(&mut self, origin: Origin, host: &str, path: &str, want: Want) -> Option<Reply> {
         let Some(setup) = &self.book.setup else {
             return Some(Reply::NoSetup);
         };
@@ -368,7 +413,8 @@
                     return Some(Reply::Refused(RETRY_AFTER));
                 }
                 if spec.loose {
-                    return self.submit_loose(now, origin, id, terms, spec);
+                    // An entry without a configuration sent it here.
+                    return Some(Reply::NotLeader);
                 }
                 self.accept(origin, id, terms, spec);
                 None
@@ -379,47 +425,6 @@
         }
     }
 
-    /// Takes a job that is not stored; its end answers the call.
-    fn submit_loose(
-        &mut self,
-        now: Millis,
-        origin: Origin,
-        id: JobId,
-        terms: Terms,
-        spec: JobSpec,
-    ) -> Option<Reply> {
-        if let Some((_, state)) = self.recent.get(&id) {
-            return Some(Reply::State(*state));
-        }
-        let lead = self.lead.as_mut()?;
-        self.callers.or_insert_with(id, Vec::new).push(origin);
-        if !lead.holds(id) {
-            let job = OpenJob::new(terms, spec);
-            let tasks: usize = job.tasks.iter().map(Vec::len).sum();
-            events::ACCEPTED.log(format_args!("job={id} tasks={tasks} stored=false"));
-            lead.submit_loose(now, id, &job);
-        }
-        None
-    }
-
-    /// Some callers have left; jobs that nobody waits for are abandoned.
-    fn leave(&mut self, now: Millis, gone: impl Fn(&Origin) -> bool) {
-        let mut alone = Vec::new();
-        for (id, origins) in self.callers.iter_mut() {
-            let before = origins.len();
-            origins.retain(|origin| !gone(origin));
-            if origins.is_empty() && before > 0 {
-                alone.push(*id);
-            }
-        }
-        for id in alone {
-            self.callers.remove(&id);
-            if let Some(lead) = &mut self.lead {
-                lead.abandon(now, id, &mut self.acts);
-            }
-        }
-    }
-
     fn accept(&mut self, origin: Origin, id: JobId, terms: Terms, spec: JobSpec) {
         let pending = self.pending.iter_mut().map(|(_, waiter)| waiter);
         let batched = self.batch.iter_mut().map(|(_, waiter)| waiter);
@@ -499,17 +504,13 @@
         Ok(())
     }
 
-    fn take_acts(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
-        for act in std::mem::take(&mut self.acts) {
+    fn take_acts(&mut self, out: &mut Vec<ReplicaOutput>) {
+        for act in self.acts.drain(..) {
             match act {
-                LeaderOutput::Ended(id, state) => {
-                    self.recent.insert(id, (now, state));
-                    for origin in self.callers.remove(&id).unwrap_or_default() {
-                        out.push(answer(origin, Reply::State(state)));
-                    }
-                }
-                LeaderOutput::Propose(entry) => self.batch.push((entry, Waiter::Nobody)),
-                LeaderOutput::Down(session, down) => out.push(ReplicaOutput::Down(session, down)),
+                // Only entries run jobs that are not stored.
+                DispatchOutput::Ended(..) => {}
+                DispatchOutput::Propose(entry) => self.batch.push((entry, Waiter::Nobody)),
+                DispatchOutput::Down(session, down) => out.push(ReplicaOutput::Down(session, down)),
             }
         }
     }
@@ -614,6 +615,10 @@
     }
 }
 
+fn is_entry(who: &Who) -> bool {
+    matches!(who, Who::Entry(..))
+}
+
 fn settle(waiter: Waiter, reply: &Reply, out: &mut Vec<ReplicaOutput>) {
     match waiter {
         Waiter::Nobody => {}
--- /dev/null
+++ b/src/dispatch/server_call.rs
@@ -0,0 +1,110 @@
+//! What an agent and its backend server say to each other.
+
+use super::spec::{Ending, Resources, Run, TaskId};
+use super::wire::Denial;
+use crate::core::clock::Millis;
+
+/// A call's number, rising within one life of the agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// A call to the backend server, which must be the one named by `server`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerCall {
+    /// Its number.
+    pub id: CallId,
+    /// The id of the backend server that is meant.
+    pub server: String,
+    /// The leader's term; older terms are refused.
+    pub token: u64,
+    /// What to do.
+    pub kind: ServerCallKind,
+}
+
+/// What a call to the backend server asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerCallKind {
+    /// Start a run, under a lease until `until` on the backend server's clock.
+    Start {
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: Run,
+        /// The job's payload.
+        payload: String,
+        /// End of the lease.
+        until: Millis,
+    },
+    /// Stop a run.
+    Stop {
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: Run,
+    },
+    /// List runs and ends, and extend the lease.
+    Hold {
+        /// Ends up to this number may be forgotten.
+        seen: u64,
+        /// End of the lease; `None` leaves it.
+        until: Option<Millis>,
+        /// How long to wait for an end.
+        wait: Millis,
+    },
+}
+
+/// The backend server's answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServerReply {
+    /// A start was taken.
+    Started {
+        /// Its clock.
+        clock: Millis,
+    },
+    /// A start was refused; nothing has run.
+    Denied(Denial),
+    /// The call's token is lower than one that the backend server has seen.
+    Fenced,
+    /// A stop was taken.
+    Stopped,
+    /// The lists.
+    Held(Lists),
+    /// The backend server has another id by now.
+    OtherLife,
+    /// No answer: it may have been carried out, or may be yet.
+    Silent,
+}
+
+/// What the backend server lists.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Lists {
+    /// Its clock.
+    pub clock: Millis,
+    /// When it was started, in milliseconds since the Unix epoch.
+    pub born: Option<u64>,
+    /// Runs with their progress in percent.
+    pub running: Vec<(TaskId, Run, u32)>,
+    /// Ends with their numbers.
+    pub ended: Vec<(u64, TaskId, Run, Ending)>,
+}
+
+/// What a backend server announces of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Beat {
+    /// Its id.
+    pub id: String,
+    /// When it was started, in milliseconds since the Unix epoch.
+    pub born: Option<u64>,
+    /// Rises with each announcement.
+    pub sequence: u64,
+    /// The service.
+    pub service: String,
+    /// Its data centre.
+    pub place: String,
+    /// What its worker has.
+    pub capacity: Resources,
+    /// The worker's labels.
+    pub labels: Vec<String>,
+    /// True when it leaves soon.
+    pub leaving: bool,
+}
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -1,10 +1,12 @@
 //! Messages of the sessions between the system's processes.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::book::End;
 use super::call::{Call, Reply};
-use super::spec::{Resources, Run, TaskId};
+use super::spec::{Resources, Run, Setup, TaskId};
 use crate::control::log::Term;
 use crate::control::message::Message;
 use crate::core::clock::Millis;
@@ -12,7 +14,8 @@
 /// Who opened a session.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Who {
-    Entry(String),
+    /// With the address at which it takes agents' sessions, as a replica's number.
+    Entry(String, u64),
     Agent(String),
     Replica(u64),
 }
@@ -25,13 +28,11 @@
     Beat(Millis),
     /// A call under the entry's number for it.
     Call(u64, Call),
-    /// The caller of this call has left, or cannot be answered in time any more.
-    Drop(u64),
     Report(Report),
     Peer(Message),
 }
 
-/// From a control instance to the process that opened the session.
+/// From a control instance or an entry to the process that opened the session.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Down {
     /// Whether this instance leads, in which term, and all instances' addresses.
@@ -40,6 +41,18 @@
         term: Term,
         members: Vec<u64>,
     },
+    /// Entries that agents should open sessions to, by address.
+    Entries(Vec<u64>),
+    /// The data centres that are out, as of this entry of the log.
+    Out(u64, Vec<String>),
+    /// The configuration in force, without its document.
+    Setup(Arc<Setup>),
+    /// An entry introduces itself to an agent: the number of its life, and the runs
+    /// that it believes the agent to hold for it.
+    Welcome {
+        life: u64,
+        runs: Vec<(TaskId, Run)>,
+    },
     /// Echo of a heartbeat. To an agent, while the instance holds its lease, it
     /// grants the right to act until so long after the time in it.
     Beat {
@@ -62,6 +75,7 @@
         life: u64,
         task: TaskId,
         run: Run,
+        need: Resources,
         payload: String,
     },
     Stop {
@@ -92,10 +106,11 @@
 /// What an agent reports.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Report {
-    /// All that the agent knows, after a look at the backend server under the
-    /// leader's own term. `server` is `None` while there is none to use.
+    /// All that the agent holds for a dispatcher, named by its epoch; for the group's
+    /// leader after a look at the backend server under its term. `server` is `None`
+    /// while there is none to use.
     Inventory {
-        term: Term,
+        epoch: u64,
         server: Option<Server>,
         runs: Vec<(TaskId, Run)>,
     },
@@ -111,6 +126,8 @@
     },
     /// Ends, each with its number within the backend server's life.
     Ends { life: u64, ends: Vec<(u64, End)> },
+    /// What other dispatchers' runs take of the worker.
+    Others(Resources),
     /// Progress of runs, in percent.
     Progress(Vec<(TaskId, Run, u32)>),
 }
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -53,7 +53,9 @@
     /// The log names the agent, so that a later leader waits for it.
     pub(crate) enrolled: bool,
     pub(crate) server: Option<Server>,
+    /// What this dispatcher's runs take, and what those of others do.
     pub(crate) used: Resources,
+    pub(crate) others: Resources,
     pub(crate) runs: Table<(TaskId, Run), Placed>,
     /// When the agent was last heard.
     pub(crate) heard: Millis,
@@ -78,6 +80,7 @@
             enrolled: false,
             server: None,
             used: Resources::default(),
+            others: Resources::default(),
             runs: Table::default(),
             heard: now,
             granted: now,
--- a/src/events.rs
+++ b/src/events.rs
@@ -77,6 +77,12 @@
     START_UNANSWERED = 506 Warn "start-unanswered";
     /// A backend server's lease ran out without an answer.
     LEASE_LAPSED = 507 Warn "lease-lapsed";
+    /// An agent has a session with an entry.
+    ENTRY_FOUND = 508 Info "entry-found";
+    /// A dispatcher's grant lapsed; its runs are stopped.
+    GRANT_LAPSED = 509 Warn "grant-lapsed";
+    /// A backend server has seen a higher token than the agent's.
+    FENCED = 510 Warn "fenced";
     /// A leader took all open jobs up.
     TAKE_OVER = 600 Info "take-over";
     /// Agents that no longer can hold runs were not heard.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,11 +60,12 @@
     Admission, Dispatch, Fate, Lease, NotRun, TaskEvent, TaskState, Verdict,
 };
 pub use crate::core::table::Table;
-pub use crate::dispatch::agent::{
-    AgentTimes, Beat, CallId, Lists, ServerCall, ServerCallKind, ServerReply,
-};
+pub use crate::dispatch::agent::AgentTimes;
 pub use crate::dispatch::call::{Call, Reply as CallReply, Want};
 pub use crate::dispatch::replica::ReplicaTimes;
+pub use crate::dispatch::server_call::{
+    Beat, CallId, Lists, ServerCall, ServerCallKind, ServerReply,
+};
 pub use crate::dispatch::spec::{
     Ending, JobId, JobSpec, Queue, Resources, Run, Setup, State, Step, TaskId, Terms,
 };
@@ -74,7 +75,7 @@
 pub use crate::node::address::{replica_address, replica_id};
 pub use crate::node::agent::AgentNode;
 pub use crate::node::control::{ControlNode, ControlNodeConfig, ControlStartError, stop_within};
-pub use crate::node::entry::EntryNode;
+pub use crate::node::entry::{EntryNode, EntryNodeConfig};
 pub use crate::node::output::start_output;
 pub use crate::shell::stand_in::StandInCounts;
 pub use crate::store::folder::Folder;
--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -6,11 +6,12 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::entry_links::EntryLinks;
 use super::link::LinkEvent;
 use super::links::{Links, News};
-use crate::dispatch::agent::{
-    Agent, AgentInput, AgentOutput, AgentTimes, Beat, CallId, ServerCall, ServerReply,
-};
+use crate::dispatch::agent::{Agent, AgentInput, AgentOutput, AgentTimes};
+use crate::dispatch::boss::Owner;
+use crate::dispatch::server_call::{Beat, CallId, ServerCall, ServerReply};
 use crate::dispatch::wire::{Down, Up, Who};
 use crate::events;
 use crate::shell::clock::Clock;
@@ -43,15 +44,17 @@
     ) -> (Self, mpsc::Receiver<ServerCall>) {
         let clock = Clock::new();
         let (link_tx, link_rx) = mpsc::channel(EVENTS);
+        let (entry_tx, entry_rx) = mpsc::channel(EVENTS);
         let (tx, rx) = mpsc::channel(EVENTS);
         let (call_tx, call_rx) = mpsc::channel(EVENTS);
         let actor = Actor {
             agent: Agent::new(times),
             links: Links::new(Who::Agent(name.to_owned()), clock, seeds, link_tx),
+            entries: EntryLinks::new(Who::Agent(name.to_owned()), clock, entry_tx),
             clock,
             calls: call_tx,
         };
-        tokio::spawn(actor.run(rx, link_rx));
+        tokio::spawn(actor.run(rx, link_rx, entry_rx));
         events::STARTED.log(format_args!("agent name={name}"));
         (Self { tx }, call_rx)
     }
@@ -88,12 +91,18 @@
 struct Actor {
     agent: Agent,
     links: Links,
+    entries: EntryLinks,
     clock: Clock,
     calls: mpsc::Sender<ServerCall>,
 }
 
 impl Actor {
-    async fn run(mut self, mut rx: mpsc::Receiver<Event>, mut links: mpsc::Receiver<LinkEvent>) {
+    async fn run(
+        mut self,
+        mut rx: mpsc::Receiver<Event>,
+        mut links: mpsc::Receiver<LinkEvent>,
+        mut entries: mpsc::Receiver<LinkEvent>,
+    ) {
         let mut ticker = interval(TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut out = Vec::new();
@@ -108,6 +117,7 @@
                     None => return,
                 },
                 Some(event) = links.recv() => self.take_link(event),
+                Some(event) = entries.recv() => self.entries.take(event),
                 _ = ticker.tick() => Some(AgentInput::Tick),
             };
             if let Some(input) = input {
@@ -122,15 +132,17 @@
     fn take_link(&mut self, event: LinkEvent) -> Option<AgentInput> {
         match self.links.take(event) {
             News::Quiet => None,
-            News::Leader(None) => Some(AgentInput::NoLeader),
-            News::Leader(Some((_, term))) => Some(AgentInput::Leader(term)),
+            News::Leader(None) => Some(AgentInput::Leader(None)),
+            News::Leader(Some((_, term))) => Some(AgentInput::Leader(Some(term))),
             // Only the leader's word counts.
             News::Message(id, _) if self.links.leader() != Some(id) => None,
             News::Message(_, down) => match down {
-                Down::Beat { at, grant } => grant.map(|grant| AgentInput::Granted(at + grant)),
-                Down::Order(order) => Some(AgentInput::Order(order)),
-                Down::Recorded { life, upto } => Some(AgentInput::Recorded { life, upto }),
-                Down::Status { .. } | Down::Reply(..) => None,
+                Down::Entries(addresses) => {
+                    self.entries.settle(self.clock.now(), &addresses);
+                    None
+                }
+                Down::Out(index, places) => Some(AgentInput::Out(index, places)),
+                other => dispatcher_input(Owner::Group, other),
             },
         }
     }
@@ -142,11 +154,26 @@
                     log::debug!("nobody takes calls to the backend server");
                 }
             }
-            AgentOutput::Report(report) => {
+            AgentOutput::Report(Owner::Group, report) => {
                 if let Some(leader) = self.links.leader() {
                     self.links.send(leader, Up::Report(report));
                 }
             }
+            AgentOutput::Report(Owner::Entry(life), report) => {
+                self.entries.send(life, Up::Report(report));
+            }
+            // Nobody is there to be told.
+            AgentOutput::Report(Owner::Unclaimed, _) => {}
         }
     }
 }
+
+/// What a dispatcher's message means to the agent.
+pub(crate) fn dispatcher_input(owner: Owner, down: Down) -> Option<AgentInput> {
+    match down {
+        Down::Beat { at, grant } => grant.map(|grant| AgentInput::Granted(owner, at + grant)),
+        Down::Order(order) => Some(AgentInput::Order(owner, order)),
+        Down::Recorded { life, upto } => Some(AgentInput::Recorded { owner, life, upto }),
+        _ => None,
+    }
+}
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -21,7 +21,7 @@
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 use crate::dispatch::call::{Call, Reply};
-use crate::dispatch::entry::LinkId;
+use crate::dispatch::desk::LinkId;
 use crate::dispatch::replica::{Replica, ReplicaError, ReplicaInput, ReplicaOutput, ReplicaTimes};
 use crate::dispatch::wire::{Down, Up, Who};
 use crate::dispatch::worker::SessionId;
@@ -94,7 +94,6 @@
 
 enum Event {
     Session(SessionEvent),
-    Link(LinkEvent),
     Synced(RaftInput),
     Call(Call, oneshot::Sender<Reply>),
     Stop(oneshot::Sender<()>),
@@ -150,7 +149,7 @@
             writer,
             own,
             links: Table::default(),
-            link_tx: forward_links(&tx),
+            link_tx: ignore_links(),
             sessions: Table::default(),
             callers: Table::default(),
             last: 0,
@@ -188,18 +187,11 @@
     }
 }
 
-/// A sender of link events that end up among the actor's.
-fn forward_links(tx: &mpsc::Sender<Event>) -> mpsc::Sender<LinkEvent> {
-    let (link_tx, mut link_rx) = mpsc::channel(EVENTS);
-    let tx = tx.clone();
-    tokio::spawn(async move {
-        while let Some(event) = link_rx.recv().await {
-            if tx.send(Event::Link(event)).await.is_err() {
-                return;
-            }
-        }
-    });
-    link_tx
+/// A sender of link events that nobody needs: peers answer over their own links.
+fn ignore_links() -> mpsc::Sender<LinkEvent> {
+    let (tx, mut rx) = mpsc::channel(EVENTS);
+    tokio::spawn(async move { while rx.recv().await.is_some() {} });
+    tx
 }
 
 struct Actor {
@@ -293,8 +285,6 @@
                 self.sessions.remove(&id);
                 ReplicaInput::Closed(id)
             }
-            // Peers answer over their own links.
-            Event::Link(_) => return Ok(()),
             Event::Synced(input) => ReplicaInput::Raft(input),
             Event::Call(call, tx) => {
                 self.last += 1;
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -1,70 +1,102 @@
-//! An entry as a process: its calls go to the leader.
+//! An entry as a process.
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use rand::RngExt;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
+use super::address::replica_id;
 use super::link::LinkEvent;
 use super::links::{Links, News};
+use super::sessions::{self, SessionEvent};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 use crate::dispatch::call::{Call, Reply};
-use crate::dispatch::entry::{Desk, DeskInput, DeskOutput};
+use crate::dispatch::desk::{Desk, DeskInput, DeskOutput};
 use crate::dispatch::wire::{Down, Up, Who};
+use crate::dispatch::worker::SessionId;
 use crate::events;
-use crate::shell::clock::Clock;
+use crate::shell::clock::{Clock, wall};
 
 /// How often deadlines are looked at.
 const TICK: Duration = Duration::from_millis(20);
 /// Calls and link events waiting.
 const EVENTS: usize = 4_096;
+/// Events taken before tasks are placed.
+const TURN: usize = 64;
 
 #[derive(Debug)]
 enum Event {
     Call(u64, Call, Millis, oneshot::Sender<Reply>),
     Left(u64),
+    Session(SessionEvent),
     Seeds(Vec<SocketAddrV4>),
 }
 
+/// Everything an entry needs to start.
+#[derive(Debug, Clone)]
+pub struct EntryNodeConfig {
+    /// Its name.
+    pub name: String,
+    /// Where agents open their sessions.
+    pub address: SocketAddrV4,
+    /// Control instances to ask first.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Longest lease of a backend server.
+    pub hold: Millis,
+}
+
 /// A running entry.
 #[derive(Debug, Clone)]
 pub struct EntryNode {
     tx: mpsc::Sender<Event>,
     last: Arc<AtomicU64>,
     open: Arc<AtomicUsize>,
-    led: Arc<AtomicUsize>,
+    ready: Arc<AtomicBool>,
 }
 
 impl EntryNode {
-    /// Starts an entry on the current runtime; `seeds` are addresses of control
-    /// instances.
-    #[must_use]
-    pub fn start(name: &str, seeds: Vec<SocketAddrV4>) -> Self {
+    /// Starts an entry on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Its address cannot be listened on.
+    pub async fn start(cfg: EntryNodeConfig) -> std::io::Result<Self> {
         let clock = Clock::new();
+        let listener = TcpListener::bind(cfg.address).await?;
+        let life = rand::rng().random_range(1..u64::MAX);
         let (link_tx, link_rx) = mpsc::channel(EVENTS);
         let (tx, rx) = mpsc::channel(EVENTS);
         let open = Arc::new(AtomicUsize::new(0));
-        let led = Arc::new(AtomicUsize::new(0));
+        let ready = Arc::new(AtomicBool::new(false));
         let actor = Actor {
-            links: Links::new(Who::Entry(name.to_owned()), clock, seeds, link_tx),
-            desk: Desk::default(),
+            links: Links::new(
+                Who::Entry(cfg.name.clone(), replica_id(cfg.address).0),
+                clock,
+                cfg.seeds,
+                link_tx,
+            ),
+            desk: Desk::new(life, cfg.hold, clock.now()),
+            sessions: Table::default(),
             clock,
             callers: Table::default(),
             open: Arc::clone(&open),
-            led: Arc::clone(&led),
+            ready: Arc::clone(&ready),
         };
         tokio::spawn(actor.run(rx, link_rx));
-        events::STARTED.log(format_args!("entry name={name}"));
-        Self {
+        tokio::spawn(sessions::serve(listener, clock, tx.clone(), Event::Session));
+        events::STARTED.log(format_args!("entry name={} life={life}", cfg.name));
+        Ok(Self {
             tx,
             last: Arc::new(AtomicU64::new(1)),
             open,
-            led,
-        }
+            ready,
+        })
     }
 
     /// Puts a call to the leader; the answer comes within `wait`.
@@ -101,10 +133,10 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// True while a leader is known.
+    /// True once calls can be decided.
     #[must_use]
-    pub fn is_led(&self) -> bool {
-        self.led.load(Ordering::Relaxed) > 0
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
     }
 }
 
@@ -127,10 +159,11 @@
 struct Actor {
     links: Links,
     desk: Desk,
+    sessions: Table<SessionId, mpsc::Sender<Down>>,
     clock: Clock,
     callers: Table<u64, oneshot::Sender<Reply>>,
     open: Arc<AtomicUsize>,
-    led: Arc<AtomicUsize>,
+    ready: Arc<AtomicBool>,
 }
 
 impl Actor {
@@ -139,23 +172,32 @@
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut out = Vec::new();
         loop {
-            // Without open calls there is no deadline to look at.
-            let idle = self.desk.len() == 0;
             let input = tokio::select! {
                 event = rx.recv() => match event {
                     Some(event) => self.take(event),
                     None => return,
                 },
                 Some(event) = links.recv() => self.take_link(event),
-                _ = ticker.tick(), if !idle => Some(DeskInput::Tick),
+                _ = ticker.tick() => Some(DeskInput::Tick),
             };
+            let now = self.clock.now();
             if let Some(input) = input {
-                self.desk.step(self.clock.now(), input, &mut out);
+                self.desk.step(now, input, &mut out);
+            }
+            for _ in 0..TURN {
+                let Ok(event) = rx.try_recv() else {
+                    break;
+                };
+                if let Some(input) = self.take(event) {
+                    self.desk.step(now, input, &mut out);
+                }
             }
+            self.desk.flush(now, wall(), &mut out);
             for output in out.drain(..) {
                 self.put(output);
             }
             self.open.store(self.desk.len(), Ordering::Relaxed);
+            self.ready.store(self.desk.is_ready(), Ordering::Relaxed);
         }
     }
 
@@ -173,6 +215,15 @@
                     deadline: self.clock.now() + wait,
                 })
             }
+            Event::Session(SessionEvent::Opened(id, tx)) => {
+                self.sessions.insert(id, tx);
+                None
+            }
+            Event::Session(SessionEvent::Message(id, up)) => Some(DeskInput::Up(id, up)),
+            Event::Session(SessionEvent::Closed(id)) => {
+                self.sessions.remove(&id);
+                Some(DeskInput::Closed(id))
+            }
             Event::Seeds(seeds) => {
                 self.links.set_seeds(seeds);
                 None
@@ -185,13 +236,13 @@
             News::Quiet => None,
             News::Leader(leader) => {
                 let link = leader.map(|(id, _)| id);
-                self.led
-                    .store(usize::from(link.is_some()), Ordering::Relaxed);
                 let term = leader.map_or(0, |(_, term)| term.0);
                 events::LEADER_FOUND.log(format_args!("known={} term={term}", link.is_some()));
                 Some(DeskInput::Leader(link))
             }
             News::Message(_, Down::Reply(token, reply)) => Some(DeskInput::Reply(token, reply)),
+            News::Message(_, Down::Setup(setup)) => Some(DeskInput::Setup(setup)),
+            News::Message(_, Down::Out(index, places)) => Some(DeskInput::Out(index, places)),
             News::Message(..) => None,
         }
     }
@@ -199,7 +250,16 @@
     fn put(&mut self, output: DeskOutput) {
         match output {
             DeskOutput::Send(link, token, call) => self.links.send(link, Up::Call(token, call)),
-            DeskOutput::Drop(link, token) => self.links.send(link, Up::Drop(token)),
+            DeskOutput::Down(id, down) => {
+                let full = self
+                    .sessions
+                    .get(&id)
+                    .is_some_and(|tx| tx.try_send(down).is_err());
+                if full {
+                    // Its agent does not keep up; closing makes it start anew.
+                    self.sessions.remove(&id);
+                }
+            }
             DeskOutput::Answer(token, reply) => {
                 if let Some(tx) = self.callers.remove(&token)
                     && tx.send(reply).is_err()
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -12,7 +12,7 @@
 
 use super::frames::{DroppedSnafu, FrameError, IoSnafu, QuietSnafu, Reader, Writer};
 use crate::core::clock::Millis;
-use crate::dispatch::entry::LinkId;
+use crate::dispatch::desk::LinkId;
 use crate::dispatch::wire::{Down, Up, Who};
 use crate::events;
 use crate::shell::clock::Clock;
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -7,7 +7,7 @@
 use super::address::replica_address;
 use super::link::{self, Link, LinkEvent};
 use crate::control::log::{ReplicaId, Term};
-use crate::dispatch::entry::LinkId;
+use crate::dispatch::desk::LinkId;
 use crate::dispatch::wire::{Down, Up, Who};
 use crate::shell::clock::Clock;
 
