--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -27,7 +27,7 @@
 /// Pause between stops of a run whose end is not listed yet.
 const STOP_RETRY: Millis = Millis(150);
 /// Between reports of progress.
-const PROGRESS_EVERY: Millis = Millis(400);
+const PROGRESS_EVERY: Millis = Millis(200);
 /// Between reports of what other dispatchers use.
 const OTHERS_EVERY: Millis = Millis(8);
 /// The backend server's clock may run so much slow, in percent.
@@ -42,7 +42,8 @@
 
 /// What reaches an agent.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum AgentInput {
+pub enum AgentInput {
+    /// The backend server announces itself.
     Beat(Beat),
     /// The backend server with this id leaves now.
     Left(String),
@@ -54,23 +55,31 @@
     EntryGone(u64),
     /// The agent may act for a dispatcher until then.
     Granted(Owner, Millis),
+    /// A dispatcher's order.
     Order(Owner, Order),
     /// A dispatcher needs no more reports of its ends up to this number.
     Recorded {
+        /// The dispatcher.
         owner: Owner,
+        /// The backend server's life.
         life: u64,
+        /// The highest number.
         upto: u64,
     },
     /// Data centres that are out, as of this entry of the log.
     Out(u64, Vec<String>),
+    /// The backend server answered a call, or did not.
     Replied(CallId, ServerReply),
+    /// Time has passed.
     Tick,
 }
 
 /// What an agent does.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum AgentOutput {
+pub enum AgentOutput {
+    /// Call the backend server.
     Call(ServerCall),
+    /// Report to a dispatcher.
     Report(Owner, Report),
 }
 
@@ -90,7 +99,7 @@
 
 /// One agent.
 #[derive(Debug)]
-pub(crate) struct Agent {
+pub struct Agent {
     times: AgentTimes,
     server: Option<Server>,
     sequence: u64,
@@ -121,7 +130,9 @@
 }
 
 impl Agent {
-    pub(crate) fn new(times: AgentTimes) -> Self {
+    /// An agent that has not heard of anyone yet.
+    #[must_use]
+    pub fn new(times: AgentTimes) -> Self {
         Self {
             times,
             server: None,
@@ -149,7 +160,7 @@
     }
 
     /// Takes one input at `now` and appends what is to be done to `out`.
-    pub(crate) fn step(&mut self, now: Millis, input: AgentInput, out: &mut Vec<AgentOutput>) {
+    pub fn step(&mut self, now: Millis, input: AgentInput, out: &mut Vec<AgentOutput>) {
         match input {
             AgentInput::Beat(beat) => self.on_beat(now, beat, out),
             AgentInput::Left(id) => {
@@ -787,8 +798,8 @@
                 .bosses
                 .get(&held.owner)
                 .map_or(Millis(0), |b| b.granted);
-            let unclaimed = held.owner == Owner::Unclaimed && now.since(held.at) < CLAIM_WITHIN;
-            if now >= granted && !unclaimed && !held.phase.is_stopping() {
+            let fresh = held.found && now.since(held.at) < CLAIM_WITHIN;
+            if now >= granted && !fresh && !held.phase.is_stopping() {
                 stop.push((*key, held.owner));
             }
         }
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -30,13 +30,13 @@
 
 /// The end of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct End {
+pub struct End {
     /// The task.
-    pub(crate) task: TaskId,
+    pub task: TaskId,
     /// Which start of it.
-    pub(crate) run: Run,
+    pub run: Run,
     /// How.
-    pub(crate) how: Ending,
+    pub how: Ending,
 }
 
 /// A task's durable part.
--- a/src/dispatch/boss.rs
+++ b/src/dispatch/boss.rs
@@ -9,7 +9,7 @@
 
 /// Whose run it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Owner {
+pub enum Owner {
     /// The control group's leader, whoever that is.
     Group,
     /// An entry in one life.
--- a/src/dispatch/desk.rs
+++ b/src/dispatch/desk.rs
@@ -24,41 +24,54 @@
 /// How long the outcome of a job that is not stored is kept: its caller submits it
 /// again a little later when the answer was lost.
 const RECENT: Millis = Millis(5_000);
+/// How long a call waits for the first configuration: a leader is found within it,
+/// unless the control group is down.
+const PARKED_FOR: Millis = Millis(600);
 /// Stored jobs' ends are not kept here; nothing to forget.
 const NO_KEEP: Millis = Millis(0);
 
 /// A link to a control instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct LinkId(pub(crate) u64);
+pub struct LinkId(pub u64);
 
 /// What reaches the desk.
 #[derive(Debug)]
-pub(crate) enum DeskInput {
+pub enum DeskInput {
     /// A new call, to be answered before its deadline.
     Call {
+        /// The caller's number.
         token: u64,
+        /// What it asks.
         call: Call,
+        /// Until when.
         deadline: Millis,
     },
     /// The caller has left.
     Left(u64),
     /// The link to the leader, if there is one.
     Leader(Option<LinkId>),
+    /// The leader's answer to a forwarded call.
     Reply(u64, Reply),
+    /// A configuration in force.
     Setup(Arc<Setup>),
     /// Data centres that are out, as of an entry of the log.
     Out(u64, Vec<String>),
-    /// An agent's session.
+    /// A message on an agent's session.
     Up(SessionId, Up),
+    /// An agent's session is gone.
     Closed(SessionId),
+    /// Time has passed.
     Tick,
 }
 
 /// What the desk does.
 #[derive(Debug, PartialEq)]
-pub(crate) enum DeskOutput {
+pub enum DeskOutput {
+    /// Send a call to the leader.
     Send(LinkId, u64, Call),
+    /// Answer a caller.
     Answer(u64, Reply),
+    /// Send to an agent.
     Down(SessionId, Down),
 }
 
@@ -66,6 +79,8 @@
 enum Way {
     /// A job that runs from here.
     Local(JobId),
+    /// Until a configuration is known.
+    Parked(Call),
     /// To the leader, over the link it was last sent on.
     Forward {
         call: Call,
@@ -75,6 +90,14 @@
     },
 }
 
+/// Who asks, since when and until when.
+#[derive(Debug, Clone, Copy)]
+struct Asked {
+    token: u64,
+    since: Millis,
+    deadline: Millis,
+}
+
 #[derive(Debug)]
 struct Open {
     way: Way,
@@ -84,7 +107,7 @@
 
 /// An entry's open calls.
 #[derive(Debug)]
-pub(crate) struct Desk {
+pub struct Desk {
     life: u64,
     open: Table<u64, Open>,
     leader: Option<LinkId>,
@@ -103,7 +126,8 @@
 impl Desk {
     /// A desk in one life of its entry; `hold` is the longest lease of a backend
     /// server.
-    pub(crate) fn new(life: u64, hold: Millis, now: Millis) -> Self {
+    #[must_use]
+    pub fn new(life: u64, hold: Millis, now: Millis) -> Self {
         Self {
             life,
             open: Table::default(),
@@ -120,13 +144,20 @@
     }
 
     /// Takes one input at `now` and appends what is to be done to `out`.
-    pub(crate) fn step(&mut self, now: Millis, input: DeskInput, out: &mut Vec<DeskOutput>) {
+    pub fn step(&mut self, now: Millis, input: DeskInput, out: &mut Vec<DeskOutput>) {
         match input {
             DeskInput::Call {
                 token,
                 call,
                 deadline,
-            } => self.on_call(now, token, call, deadline, out),
+            } => {
+                let asked = Asked {
+                    token,
+                    since: now,
+                    deadline,
+                };
+                self.on_call(now, asked, call, out);
+            }
             DeskInput::Left(token) => {
                 if let Some(open) = self.open.remove(&token) {
                     self.leave(now, token, &open);
@@ -149,6 +180,7 @@
                 if held.is_none_or(|held| held < setup.version) {
                     events::SETUP.log(format_args!("version={} in_force=true", setup.version));
                     self.setup = Some(setup);
+                    self.unpark(now, out);
                 }
             }
             DeskInput::Out(index, places) => {
@@ -164,7 +196,7 @@
     }
 
     /// Ends a turn: starts tasks, and answers the jobs that ended.
-    pub(crate) fn flush(&mut self, now: Millis, wall: Millis, out: &mut Vec<DeskOutput>) {
+    pub fn flush(&mut self, now: Millis, wall: Millis, out: &mut Vec<DeskOutput>) {
         self.dispatcher.place(now, wall, &self.out, &mut self.acts);
         for act in std::mem::take(&mut self.acts) {
             match act {
@@ -185,16 +217,15 @@
         }
     }
 
-    fn on_call(
-        &mut self,
-        now: Millis,
-        token: u64,
-        call: Call,
-        deadline: Millis,
-        out: &mut Vec<DeskOutput>,
-    ) {
+    fn on_call(&mut self, now: Millis, asked: Asked, call: Call, out: &mut Vec<DeskOutput>) {
+        let token = asked.token;
         let Some(setup) = self.setup.clone() else {
-            out.push(DeskOutput::Answer(token, Reply::NoSetup));
+            let open = Open {
+                way: Way::Parked(call),
+                since: asked.since,
+                deadline: asked.deadline,
+            };
+            self.open.insert(token, open);
             return;
         };
         let call = match call {
@@ -204,7 +235,7 @@
                     return;
                 }
                 (Target::Job(queue, id), Want::Submit(Some(spec))) if spec.loose => {
-                    let reply = self.submit(now, token, deadline, id, &queue.terms, spec);
+                    let reply = self.submit(now, asked, id, &queue.terms, spec);
                     out.extend(reply.map(|reply| DeskOutput::Answer(token, reply)));
                     return;
                 }
@@ -220,23 +251,44 @@
         };
         let open = Open {
             way,
-            since: now,
-            deadline,
+            since: asked.since,
+            deadline: asked.deadline,
         };
         self.open.insert(token, open);
         self.forward(now, out);
     }
 
+    /// Decides the calls that came before the first configuration.
+    fn unpark(&mut self, now: Millis, out: &mut Vec<DeskOutput>) {
+        let parked = self
+            .open
+            .iter()
+            .filter(|(_, o)| matches!(o.way, Way::Parked(_)));
+        let parked: Vec<_> = parked.map(|(token, _)| *token).collect();
+        for token in parked {
+            if let Some(open) = self.open.remove(&token)
+                && let Way::Parked(call) = open.way
+            {
+                let asked = Asked {
+                    token,
+                    since: open.since,
+                    deadline: open.deadline,
+                };
+                self.on_call(now, asked, call, out);
+            }
+        }
+    }
+
     /// Takes a job that is not stored; its end answers the call.
     fn submit(
         &mut self,
         now: Millis,
-        token: u64,
-        deadline: Millis,
+        asked: Asked,
         id: JobId,
         terms: &Terms,
         spec: JobSpec,
     ) -> Option<Reply> {
+        let token = asked.token;
         if let Some(what) = &spec.unsupported {
             events::REFUSED.log(format_args!("job={id} unsupported={what}"));
             return Some(Reply::Refused(RETRY_AFTER));
@@ -249,15 +301,15 @@
             let tasks: usize = job.tasks.iter().map(Vec::len).sum();
             events::ACCEPTED.log(format_args!(
                 "job={id} call={token} tasks={tasks} stored=false wait_ms={}",
-                deadline.since(now).0
+                asked.deadline.since(now).0
             ));
-            self.dispatcher.submit(now, id, &job);
+            self.dispatcher.submit(now, asked.since, id, &job);
         }
         self.callers.or_insert_with(id, Vec::new).push(token);
         let open = Open {
             way: Way::Local(id),
-            since: now,
-            deadline,
+            since: asked.since,
+            deadline: asked.deadline,
         };
         self.open.insert(token, open);
         None
@@ -356,6 +408,7 @@
             };
             let risked = match &open.way {
                 Way::Local(id) => self.dispatcher.has_ordered(*id),
+                Way::Parked(_) => false,
                 Way::Forward { risked, .. } => *risked,
             };
             events::CALL_EXPIRED.log(format_args!(
@@ -374,29 +427,37 @@
         }
     }
 
-    /// Refuses the local jobs that have not been started and cannot be of use any
-    /// more, so that their callers know at once.
+    /// Refuses what has not been started and cannot be of use any more, so that the
+    /// callers know at once.
     fn refuse_hopeless(&mut self, now: Millis, out: &mut Vec<DeskOutput>) {
         let mut hopeless = Vec::new();
         for (token, open) in self.open.iter() {
-            let Way::Local(id) = open.way else {
-                continue;
-            };
             let half = Millis(open.deadline.since(open.since).0 / 2);
             let waited = now.since(open.since);
-            let useless = self.dispatcher.is_overdue(now, id) || waited >= half;
-            if useless && !self.dispatcher.has_ordered(id) {
-                hopeless.push((*token, id, waited));
+            let useless = match &open.way {
+                Way::Local(id) => {
+                    let late = self.dispatcher.is_overdue(now, *id) || waited >= half;
+                    late && !self.dispatcher.has_ordered(*id)
+                }
+                Way::Parked(_) => waited >= PARKED_FOR,
+                Way::Forward { .. } => false,
+            };
+            if useless {
+                hopeless.push((*token, waited));
             }
         }
-        for (token, id, waited) in hopeless {
+        for (token, waited) in hopeless {
             if let Some(open) = self.open.remove(&token) {
                 events::REFUSED.log(format_args!(
-                    "job={id} call={token} why=no-room waited_ms={}",
-                    waited.0
+                    "call={token} way={:?} waited_ms={}",
+                    open.way, waited.0
                 ));
                 self.leave(now, token, &open);
-                out.push(DeskOutput::Answer(token, Reply::Refused(RETRY_AFTER)));
+                let reply = match open.way {
+                    Way::Parked(_) => Reply::NoSetup,
+                    _ => Reply::Refused(RETRY_AFTER),
+                };
+                out.push(DeskOutput::Answer(token, reply));
             }
         }
     }
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -4,7 +4,8 @@
 //! its callers that are not stored.
 
 use super::book::{Book, Change, End, Entry, Job, OpenJob};
-use super::live::{LiveJob, Phase, Rank};
+use super::demand::{Demand, Rank};
+use super::live::{LiveJob, Outlook, Phase};
 use super::spec::{Ending, JobId, Plan, Resources, Run, State, TaskId, Terms};
 use super::wire::{Denial, Down, Order, Report, Server};
 use super::worker::{Placed, SessionId, Worker, WorkerId};
@@ -36,8 +37,10 @@
 const RANK_EVERY: Millis = Millis(40);
 /// How often runs are searched for ones that stand still.
 const SLOW_EVERY: Millis = Millis(100);
-/// A run is not judged slow before this age; reports of progress come late.
-const SLOW_AGE: Millis = Millis(500);
+/// A run is not judged slow before this age: progress is rough at first.
+const SLOW_AGE: Millis = Millis(200);
+/// Milliseconds that a restart takes at least, with its hops.
+const SLOW_LEAST: f64 = 50.0;
 /// A run is slow when it is likely to last so many times what a restart takes.
 const SLOW_TIMES: f64 = 2.0;
 /// A task is moved for slowness at most so often.
@@ -102,6 +105,7 @@
     ended: Vec<(Millis, JobId)>,
     // Duration against estimate, by queue's service and priority.
     ratios: Table<(String, u32), f64>,
+    demand: Demand,
     last_run: u64,
     ranked: Millis,
     searched: Millis,
@@ -121,6 +125,7 @@
             await_until: now,
             ended: Vec::new(),
             ratios: Table::default(),
+            demand: Demand::default(),
             last_run: 0,
             ranked: now,
             searched: now,
@@ -192,7 +197,7 @@
         if self.waiting.iter().any(|(_, known)| *known == id) {
             return;
         }
-        let row = (job.rank(now), id);
+        let row = (self.demand.rank(now, job), id);
         let at = self.waiting.partition_point(|other| *other <= row);
         self.waiting.insert(at, row);
     }
@@ -293,8 +298,8 @@
 
     /// Takes a job that is not stored. What runs of it are still being stopped come
     /// to their end first.
-    pub(crate) fn submit(&mut self, now: Millis, id: JobId, job: &OpenJob) {
-        let mut live = LiveJob::new(job, now, Phase::Ready, true);
+    pub(crate) fn submit(&mut self, now: Millis, since: Millis, id: JobId, job: &OpenJob) {
+        let mut live = LiveJob::new(job, since, Phase::Ready, true);
         for (at, worker) in self.workers.iter().enumerate() {
             for ((task, run), _) in worker.runs.iter() {
                 if task.job == id
@@ -305,6 +310,7 @@
                 }
             }
         }
+        self.demand.arrived(now, &live);
         self.jobs.insert(id, live);
         self.queue(now, id);
     }
@@ -325,7 +331,7 @@
     /// True when a job that starts now cannot end in time to be of use.
     pub(crate) fn is_overdue(&self, now: Millis, id: JobId) -> bool {
         let job = self.jobs.get(&id);
-        job.is_some_and(|job| matches!(job.rank(now), Rank::Overdue(..)))
+        job.is_some_and(|job| job.outlook(now) == Outlook::Overdue)
     }
 
     /// True while a job is open here.
@@ -428,11 +434,11 @@
                 self.on_not_started(now, id, (task, run), reason);
             }
             Report::Ends { life, ends } => self.on_ends(now, id, life, &ends, out),
-            Report::Others(used) => self.workers[id.0].others = used,
+            Report::Others(used) => self.workers[id.0].set_others(used),
             Report::Progress(rows) => {
                 for (task, run, percent) in rows {
                     if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
-                        placed.percent = percent;
+                        placed.progress = Some((percent, now));
                     }
                 }
             }
@@ -525,7 +531,7 @@
             started: None,
             expected: estimate,
             nominal: estimate,
-            percent: 0,
+            progress: None,
             stopping: !wanted,
         };
         let worker = &mut self.workers[id.0];
@@ -587,8 +593,14 @@
         if reason == Denial::Stale {
             self.last_run = self.last_run.max(key.1.0) + RUN_LEAP;
         }
-        if reason == Denial::Unwell {
-            self.workers[id.0].failed(now);
+        match reason {
+            Denial::Unwell => self.workers[id.0].failed(now),
+            Denial::Room => {
+                self.workers[id.0].is_full(now);
+                self.release(now, id, key);
+                return;
+            }
+            Denial::Closed | Denial::Stale => {}
         }
         if let Some(live) = self
             .jobs
@@ -743,10 +755,10 @@
     }
 
     fn rank_all(&mut self, now: Millis) {
-        let jobs = &self.jobs;
+        let (jobs, demand) = (&self.jobs, &self.demand);
         for (rank, id) in &mut self.waiting {
             if let Some(job) = jobs.get(id) {
-                *rank = job.rank(now);
+                *rank = demand.rank(now, job);
             }
         }
         self.waiting.sort_unstable();
@@ -765,7 +777,7 @@
         let mut slow = Vec::new();
         for (at, worker) in self.workers.iter().enumerate() {
             for (key, placed) in worker.runs.iter() {
-                if !placed.stopping && is_slow(now, placed) {
+                if !placed.stopping && is_slow(placed) {
                     slow.push((WorkerId(at), *key));
                 }
             }
@@ -787,10 +799,10 @@
             if let Some(placed) = worker.runs.get_mut(&(task, run)) {
                 placed.stopping = true;
                 events::RUN_SLOW.log(format_args!(
-                    "task={task} run={} agent={} percent={} expected_ms={} age_ms={}",
+                    "task={task} run={} agent={} progress={:?} expected_ms={} age_ms={}",
                     run.0,
                     worker.agent,
-                    placed.percent,
+                    placed.progress,
                     placed.expected.0,
                     now.since(placed.ordered).0
                 ));
@@ -902,7 +914,7 @@
             started: None,
             expected: Millis(scale(nominal, worker.pace)),
             nominal,
-            percent: 0,
+            progress: None,
             stopping: false,
         };
         worker.put((key, run), placed);
@@ -1005,13 +1017,16 @@
 }
 
 /// True when a run is likely to last much longer than a new start elsewhere.
-fn is_slow(now: Millis, placed: &Placed) -> bool {
-    let age = now.since(placed.started.unwrap_or(placed.ordered));
-    let usual = placed.expected.as_f64().max(50.0);
-    if age < SLOW_AGE || age.as_f64() < usual * SLOW_TIMES {
+fn is_slow(placed: &Placed) -> bool {
+    let (Some(started), Some((percent, at))) = (placed.started, placed.progress) else {
+        return false;
+    };
+    let age = at.since(started);
+    let usual = placed.expected.as_f64().max(SLOW_LEAST);
+    if age < SLOW_AGE || age.as_f64() < usual {
         return false;
     }
-    let done = f64::from(placed.percent.max(1)) / 100.0;
+    let done = f64::from(percent.max(1)) / 100.0;
     let left = age.as_f64() * (1.0 - done) / done;
     left > usual * SLOW_TIMES
 }
--- a/src/dispatch/held.rs
+++ b/src/dispatch/held.rs
@@ -34,6 +34,9 @@
     /// When the phase began, or the last stop was sent.
     pub(crate) at: Millis,
     pub(crate) percent: u32,
+    /// An earlier life of the agent started it. Its lease ends soon unless its
+    /// dispatcher grants more.
+    pub(crate) found: bool,
 }
 
 impl Held {
@@ -44,6 +47,7 @@
             phase: Phase::Starting,
             at: now,
             percent: 0,
+            found: false,
         }
     }
 
@@ -55,6 +59,7 @@
             phase: Phase::Running,
             at: now,
             percent: 0,
+            found: true,
         }
     }
 
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -11,6 +11,8 @@
 const LATE_TIMES: u64 = 3;
 /// Thousandths, as in a queue's slack.
 const SCALE: u64 = 1_000;
+/// Thousandths of a core, as tasks ask for them.
+const CPU_UNIT: f64 = 1_000.0;
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,15 +43,15 @@
     pub(crate) fails: u32,
 }
 
-/// How urgent a job is; the least goes first.
+/// What a job that starts now can still reach.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Rank {
-    /// It can still meet its objective, and must start by then.
-    InTime(Millis),
-    /// It can still end within the time in which late jobs count.
-    Late(u32, Millis),
-    /// It only has to end.
-    Overdue(u32, Millis),
+pub(crate) enum Outlook {
+    /// Its objective.
+    InTime,
+    /// The time in which late jobs count.
+    Late,
+    /// Only its end.
+    Overdue,
 }
 
 /// A job that has not ended.
@@ -65,7 +67,6 @@
     /// When it should have ended, and the time allowed for that.
     objective: Millis,
     chain: Millis,
-    priority: u32,
 }
 
 impl LiveJob {
@@ -87,7 +88,6 @@
         let stretched = chain.0 * u64::from(terms.slack) / SCALE;
         Self {
             objective: Millis(stretched) + terms.target,
-            priority: terms.priority,
             plan: Arc::clone(&job.plan),
             loose,
             tasks,
@@ -97,18 +97,38 @@
         }
     }
 
-    pub(crate) fn rank(&self, now: Millis) -> Rank {
+    pub(crate) fn outlook(&self, now: Millis) -> Outlook {
         let start_by = (self.since + self.objective) - self.chain;
         let late_by = (self.since + Millis(self.objective.0 * LATE_TIMES)) - self.chain;
         if now <= start_by {
-            Rank::InTime(start_by)
+            Outlook::InTime
         } else if now <= late_by {
-            Rank::Late(self.priority, start_by)
+            Outlook::Late
         } else {
-            Rank::Overdue(self.priority, start_by)
+            Outlook::Overdue
         }
     }
 
+    /// Core-milliseconds of all tasks, by their estimates.
+    pub(crate) fn work(&self) -> f64 {
+        let steps = self.plan.steps.iter();
+        steps
+            .map(|step| task_work(step) * f64::from(step.count))
+            .sum()
+    }
+
+    /// Core-milliseconds of the tasks that still have to be started.
+    pub(crate) fn left(&self) -> f64 {
+        let mut left = 0.0;
+        for (step, tasks) in self.plan.steps.iter().zip(&self.tasks) {
+            let ready = tasks.iter().filter(|t| t.phase == Phase::Ready);
+            for _ in ready {
+                left += task_work(step);
+            }
+        }
+        left
+    }
+
     pub(crate) fn task_mut(&mut self, task: TaskId) -> Option<&mut LiveTask> {
         let step = usize::try_from(task.step).ok()?;
         let index = usize::try_from(task.index).ok()?;
@@ -154,6 +174,11 @@
     }
 }
 
+/// Core-milliseconds of one task, by its estimate.
+fn task_work(step: &Step) -> f64 {
+    f64::from(step.need.cpu) / CPU_UNIT * step.estimate.as_f64().max(1.0)
+}
+
 /// Sum of the estimates along the longest path through the steps.
 fn longest_chain(steps: &[Step]) -> Millis {
     let mut ends: Vec<Millis> = Vec::with_capacity(steps.len());
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod book;
 pub(crate) mod boss;
 pub(crate) mod call;
+pub(crate) mod demand;
 pub(crate) mod desk;
 pub(crate) mod dispatcher;
 pub(crate) mod held;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -29,14 +29,21 @@
 
 /// What a control instance cannot make sense of.
 #[derive(Debug, Snafu)]
-pub(crate) enum ReplicaError {
+pub enum ReplicaError {
+    /// A committed entry or the snapshot does not decode.
     #[snafu(display("log entry {}: {source}", index.0))]
     Decode {
+        /// Where.
         index: Index,
+        /// What the decoder found.
         source: postcard::Error,
     },
+    /// An entry does not encode.
     #[snafu(display("entry: {source}"))]
-    Encode { source: postcard::Error },
+    Encode {
+        /// What the encoder found.
+        source: postcard::Error,
+    },
 }
 
 /// Where an answer goes.
@@ -50,19 +57,27 @@
 
 /// What reaches a control instance.
 #[derive(Debug)]
-pub(crate) enum ReplicaInput {
+pub enum ReplicaInput {
+    /// For the replicated log.
     Raft(RaftInput),
+    /// A message on a session.
     Up(SessionId, Up),
+    /// A session is gone.
     Closed(SessionId),
+    /// A call that this process received, under its number.
     Call(u64, Call),
+    /// Time has passed.
     Tick,
 }
 
 /// What a control instance does.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) enum ReplicaOutput {
+pub enum ReplicaOutput {
+    /// For the replicated log: write or send.
     Raft(RaftOutput),
+    /// Send on a session.
     Down(SessionId, Down),
+    /// Answer a call of this process.
     Reply(u64, Reply),
 }
 
@@ -87,7 +102,7 @@
 
 /// One control instance.
 #[derive(Debug)]
-pub(crate) struct Replica {
+pub struct Replica {
     raft: Raft,
     book: Book,
     times: ReplicaTimes,
@@ -109,7 +124,11 @@
 
 impl Replica {
     /// An instance over a log as it comes up.
-    pub(crate) fn new(raft: Raft, times: ReplicaTimes) -> Result<Self, ReplicaError> {
+    ///
+    /// # Errors
+    ///
+    /// The snapshot does not decode.
+    pub fn new(raft: Raft, times: ReplicaTimes) -> Result<Self, ReplicaError> {
         let book = decode_book(raft.snapshot())?;
         Ok(Self {
             raft,
@@ -128,18 +147,25 @@
         })
     }
 
-    pub(crate) fn raft(&self) -> &Raft {
+    /// The replicated log.
+    #[must_use]
+    pub fn raft(&self) -> &Raft {
         &self.raft
     }
 
     /// True when nothing awaits a commit.
-    pub(crate) fn is_idle(&self) -> bool {
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
         self.pending.is_empty() && self.batch.is_empty()
     }
 
     /// Takes one input at `now` and appends what is to be done to `out`. What it
     /// proposes waits for [`Replica::flush`].
-    pub(crate) fn step(
+    ///
+    /// # Errors
+    ///
+    /// A committed entry does not decode: the instance must stop.
+    pub fn step(
         &mut self,
         now: Millis,
         input: ReplicaInput,
@@ -178,11 +204,11 @@
 
     /// Ends a turn: starts tasks, proposes what has gathered, tells of changes of
     /// the leadership.
-    pub(crate) fn flush(
-        &mut self,
-        now: Millis,
-        out: &mut Vec<ReplicaOutput>,
-    ) -> Result<(), ReplicaError> {
+    ///
+    /// # Errors
+    ///
+    /// As for [`Replica::step`].
+    pub fn flush(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
         self.take_lead(now);
         if self.raft.holds_lease(now)
             && let Some(lead) = &mut self.lead
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -13,32 +13,41 @@
 
 /// Who opened a session.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Who {
-    /// With the address at which it takes agents' sessions, as a replica's number.
+pub enum Who {
+    /// An entry's name, and the address at which it takes agents' sessions, as a
+    /// replica's number.
     Entry(String, u64),
+    /// An agent's name.
     Agent(String),
+    /// A replica's number.
     Replica(u64),
 }
 
 /// From the process that opened the session to a control instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Up {
+pub enum Up {
+    /// First on every session.
     Hello(Who),
     /// Heartbeat, with the sender's clock to be echoed.
     Beat(Millis),
     /// A call under the entry's number for it.
     Call(u64, Call),
+    /// From an agent.
     Report(Report),
+    /// Between replicas.
     Peer(Message),
 }
 
 /// From a control instance or an entry to the process that opened the session.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Down {
+pub enum Down {
     /// Whether this instance leads, in which term, and all instances' addresses.
     Status {
+        /// True while it leads.
         leads: bool,
+        /// Its term.
         term: Term,
+        /// All replicas of the group.
         members: Vec<u64>,
     },
     /// Entries that agents should open sessions to, by address.
@@ -50,36 +59,53 @@
     /// An entry introduces itself to an agent: the number of its life, and the runs
     /// that it believes the agent to hold for it.
     Welcome {
+        /// Number of the entry's life.
         life: u64,
+        /// The runs.
         runs: Vec<(TaskId, Run)>,
     },
     /// Echo of a heartbeat. To an agent, while the instance holds its lease, it
     /// grants the right to act until so long after the time in it.
     Beat {
+        /// The time as the sender of the heartbeat gave it.
         at: Millis,
+        /// Length of the grant.
         grant: Option<Millis>,
     },
+    /// The answer to an entry's call, under its number.
     Reply(u64, Reply),
+    /// To an agent.
     Order(Order),
     /// Ends up to this number of the backend server's life are on record.
     Recorded {
+        /// The backend server's life.
         life: u64,
+        /// The highest number.
         upto: u64,
     },
 }
 
 /// What a leader tells an agent to do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Order {
+pub enum Order {
+    /// Start a run.
     Start {
+        /// The life of the backend server that is meant.
         life: u64,
+        /// The task.
         task: TaskId,
+        /// Its run.
         run: Run,
+        /// What it takes.
         need: Resources,
+        /// Handed to the backend server.
         payload: String,
     },
+    /// Stop a run.
     Stop {
+        /// The task.
         task: TaskId,
+        /// Its run.
         run: Run,
     },
 }
@@ -105,13 +131,16 @@
 
 /// What an agent reports.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) enum Report {
+pub enum Report {
     /// All that the agent holds for a dispatcher, named by its epoch; for the group's
     /// leader after a look at the backend server under its term. `server` is `None`
     /// while there is none to use.
     Inventory {
+        /// The dispatcher's term or life.
         epoch: u64,
+        /// The backend server.
         server: Option<Server>,
+        /// Runs that have not ended.
         runs: Vec<(TaskId, Run)>,
     },
     /// The backend server's state has changed.
@@ -120,12 +149,20 @@
     Started(TaskId, Run),
     /// The run never started and never will.
     NotStarted {
+        /// The task.
         task: TaskId,
+        /// Its run.
         run: Run,
+        /// Why.
         reason: Denial,
     },
     /// Ends, each with its number within the backend server's life.
-    Ends { life: u64, ends: Vec<(u64, End)> },
+    Ends {
+        /// The backend server's life.
+        life: u64,
+        /// The ends.
+        ends: Vec<(u64, End)>,
+    },
     /// What other dispatchers' runs take of the worker.
     Others(Resources),
     /// Progress of runs, in percent.
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -12,7 +12,7 @@
 
 /// A session's number within one control instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct SessionId(pub(crate) u64);
+pub struct SessionId(pub u64);
 
 /// Weight of the latest run in a worker's learned pace.
 const PACE_WEIGHT: f64 = 0.15;
@@ -23,6 +23,9 @@
 /// First and longest time that a tripped worker is left alone.
 const TRIP_FIRST: Millis = Millis(500);
 const TRIP_LONGEST: Millis = Millis(4_000);
+/// A worker that said that it has no room is asked again after this, or when it
+/// reports what others use.
+const FULL_FOR: Millis = Millis(30);
 /// A worker is given nothing new when it has not been heard for so long; several
 /// heartbeats fit in.
 const QUIET_AFTER: Millis = Millis(700);
@@ -39,7 +42,8 @@
     pub(crate) expected: Millis,
     /// The caller's estimate times what its queue taught.
     pub(crate) nominal: Millis,
-    pub(crate) percent: u32,
+    /// The latest report of its progress in percent, with the time of that.
+    pub(crate) progress: Option<(u32, Millis)>,
     pub(crate) stopping: bool,
 }
 
@@ -63,6 +67,8 @@
     pub(crate) granted: Millis,
     /// Duration against the average worker's; below 1 is fast.
     pub(crate) pace: f64,
+    // It said that it has no room; until when that is believed.
+    full: Millis,
     // Failures in a row, and until when the worker is left alone for them.
     failures: u32,
     shunned: Millis,
@@ -85,6 +91,7 @@
             heard: now,
             granted: now,
             pace: 1.0,
+            full: Millis(0),
             failures: 0,
             shunned: Millis(0),
             reported: 0,
@@ -97,7 +104,7 @@
         let heard = now.since(self.heard) < QUIET_AFTER;
         let able = self.ready && self.enrolled && self.session.is_some() && heard;
         let server = self.server.as_ref()?;
-        (able && !server.leaving && now >= self.shunned).then_some(server)
+        (able && !server.leaving && now >= self.shunned && now >= self.full).then_some(server)
     }
 
     pub(crate) fn life(&self) -> u64 {
@@ -146,6 +153,17 @@
         self.pace += (ratio - self.pace) * PACE_WEIGHT;
     }
 
+    /// It had no room for an order.
+    pub(crate) fn is_full(&mut self, now: Millis) {
+        self.full = now + FULL_FOR;
+    }
+
+    /// It told what other dispatchers' runs take.
+    pub(crate) fn set_others(&mut self, others: Resources) {
+        self.others = others;
+        self.full = Millis(0);
+    }
+
     /// Notes a failure; after some in a row the worker is left alone for a while.
     pub(crate) fn failed(&mut self, now: Millis) {
         self.failures += 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,16 +60,25 @@
     Admission, Dispatch, Fate, Lease, NotRun, TaskEvent, TaskState, Verdict,
 };
 pub use crate::core::table::Table;
-pub use crate::dispatch::agent::AgentTimes;
+pub use crate::dispatch::agent::{
+    Agent as ServerAgent, AgentInput as ServerAgentInput, AgentOutput as ServerAgentOutput,
+    AgentTimes,
+};
+pub use crate::dispatch::book::End;
+pub use crate::dispatch::boss::Owner;
 pub use crate::dispatch::call::{Call, Reply as CallReply, Want};
-pub use crate::dispatch::replica::ReplicaTimes;
+pub use crate::dispatch::desk::{Desk, DeskInput, DeskOutput, LinkId};
+pub use crate::dispatch::replica::{
+    Replica, ReplicaError, ReplicaInput, ReplicaOutput, ReplicaTimes,
+};
 pub use crate::dispatch::server_call::{
     Beat, CallId, Lists, ServerCall, ServerCallKind, ServerReply,
 };
 pub use crate::dispatch::spec::{
     Ending, JobId, JobSpec, Queue, Resources, Run, Setup, State, Step, TaskId, Terms,
 };
-pub use crate::dispatch::wire::{Denial, Server};
+pub use crate::dispatch::wire::{Denial, Down, Order, Report, Server, Up, Who};
+pub use crate::dispatch::worker::SessionId;
 pub use crate::events::{EVENTS, Event};
 pub use crate::load::shape::{Fleet, JobPlan, Shape, TaskPlan};
 pub use crate::node::address::{replica_address, replica_id};
--- /dev/null
+++ b/tests/fakes/fleet.rs
@@ -0,0 +1,437 @@
+//! Entries and agents with their backend servers, in virtual time.
+//!
+//! Every message takes a millisecond. A process that is down neither receives nor
+//! acts; a frozen one does so later, when it is woken.
+
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use fulmardrift::{
+    AgentTimes, Call, CallId, CallReply, Desk, DeskInput, DeskOutput, Down, JobId, JobSpec, Millis,
+    Owner, Queue, Resources, ServerAgent, ServerAgentInput, ServerAgentOutput, ServerCall,
+    ServerReply, SessionId, Setup, Step, Terms, Up, Want, Who,
+};
+
+use super::server::{FakeServer, Span};
+
+pub const HOLD: Millis = Millis(1_000);
+/// Time of the fake wall clock at the start.
+const WALL: u64 = 1_780_000_000_000;
+const BEAT: u64 = 250;
+const SILENCE: u64 = 900;
+
+pub struct EntrySlot {
+    pub desk: Option<Desk>,
+    pub life: u64,
+    pub answers: Vec<(u64, CallReply)>,
+    /// Milliseconds by which its wall clock is off.
+    pub skew: i64,
+}
+
+pub struct AgentSlot {
+    pub agent: ServerAgent,
+    pub server: FakeServer,
+    pub frozen: bool,
+    /// Starts get no answer and are carried out so much later.
+    pub late: Option<Millis>,
+    inbox: Vec<ServerAgentInput>,
+}
+
+#[derive(Clone)]
+struct Session {
+    entry: usize,
+    agent: usize,
+    life: u64,
+    id: SessionId,
+    heard: u64,
+}
+
+pub struct Fleet {
+    pub now: Millis,
+    pub entries: Vec<EntrySlot>,
+    pub agents: Vec<AgentSlot>,
+    /// Pairs of entry and agent that cannot reach each other.
+    pub cut: Vec<(usize, usize)>,
+    /// Calls with the time at which they are carried out.
+    late: VecDeque<(Millis, usize, ServerCall)>,
+    sessions: Vec<Session>,
+    down: VecDeque<(Millis, SessionId, Down)>,
+    up: VecDeque<(Millis, SessionId, Up)>,
+    calls: VecDeque<(Millis, usize, ServerCall)>,
+    last: u64,
+}
+
+pub fn setup(version: u64) -> Setup {
+    Setup {
+        version,
+        queues: vec![Queue {
+            name: "q".to_owned(),
+            host: "desk.example".to_owned(),
+            prefix: "/jobs/".to_owned(),
+            terms: Terms {
+                service: "desk".to_owned(),
+                priority: 0,
+                attempts: 3,
+                slack: 1_600,
+                target: Millis(60),
+            },
+        }],
+        unguarded: Vec::new(),
+        document: format!("document {version}").into_bytes(),
+    }
+}
+
+/// A job of one step.
+pub fn job(count: u32, estimate: u64, loose: bool) -> JobSpec {
+    JobSpec {
+        payload: "work".to_owned(),
+        steps: vec![Step {
+            count,
+            need: Resources {
+                cpu: 1_000,
+                memory: 10,
+                gpu: 0,
+            },
+            estimate: Millis(estimate),
+            after: Vec::new(),
+            label: None,
+            rack: None,
+            spread: 0,
+        }],
+        loose,
+        unsupported: None,
+    }
+}
+
+pub fn submit(id: JobId, spec: JobSpec) -> Call {
+    Call::Client {
+        host: "desk.example".to_owned(),
+        path: format!("/jobs/{id}"),
+        want: Want::Submit(Some(spec)),
+    }
+}
+
+impl Fleet {
+    /// Entries and agents that know each other, with a configuration in force.
+    pub fn new(entries: usize, agents: usize, work: u64) -> Self {
+        let mut fleet = Self {
+            now: Millis(1),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            cut: Vec::new(),
+            late: VecDeque::new(),
+            sessions: Vec::new(),
+            down: VecDeque::new(),
+            up: VecDeque::new(),
+            calls: VecDeque::new(),
+            last: 0,
+        };
+        for _ in 0..entries {
+            fleet.entries.push(EntrySlot {
+                desk: None,
+                life: 0,
+                answers: Vec::new(),
+                skew: 0,
+            });
+        }
+        for at in 0..agents {
+            fleet.agents.push(AgentSlot {
+                agent: ServerAgent::new(AgentTimes { hold: HOLD }),
+                server: FakeServer::new(&format!("s{at}"), &format!("dc{at}"), Millis(work)),
+                frozen: false,
+                late: None,
+                inbox: Vec::new(),
+            });
+        }
+        for entry in 0..entries {
+            fleet.start_entry(entry);
+        }
+        fleet.run(400);
+        fleet
+    }
+
+    pub fn start_entry(&mut self, entry: usize) {
+        self.last += 1;
+        let life = 1_000 + self.last;
+        let mut desk = Desk::new(life, HOLD, self.now);
+        let mut out = Vec::new();
+        desk.step(self.now, DeskInput::Setup(Arc::new(setup(1))), &mut out);
+        self.entries[entry].desk = Some(desk);
+        self.entries[entry].life = life;
+    }
+
+    /// Kills an entry: its connections are reset.
+    pub fn kill_entry(&mut self, entry: usize) {
+        self.entries[entry].desk = None;
+        let gone: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|s| s.entry == entry)
+            .cloned()
+            .collect();
+        self.sessions.retain(|s| s.entry != entry);
+        for session in gone {
+            self.agent_input(session.agent, ServerAgentInput::EntryGone(session.life));
+        }
+    }
+
+    /// Restarts an agent's process; its backend server runs on.
+    pub fn restart_agent(&mut self, agent: usize) {
+        self.agents[agent].agent = ServerAgent::new(AgentTimes { hold: HOLD });
+        self.agents[agent].inbox.clear();
+        let gone: Vec<_> = self
+            .sessions
+            .iter()
+            .filter(|s| s.agent == agent)
+            .cloned()
+            .collect();
+        self.sessions.retain(|s| s.agent != agent);
+        self.calls.retain(|(_, to, _)| *to != agent);
+        for session in gone {
+            self.desk_input(session.entry, DeskInput::Closed(session.id));
+        }
+        let beat = self.agents[agent].server.beat();
+        self.agent_input(agent, ServerAgentInput::Beat(beat));
+    }
+
+    pub fn wake(&mut self, agent: usize) {
+        self.agents[agent].frozen = false;
+        for input in std::mem::take(&mut self.agents[agent].inbox) {
+            self.agent_input(agent, input);
+        }
+    }
+
+    pub fn call(&mut self, entry: usize, token: u64, call: Call, wait: u64) {
+        let deadline = self.now + Millis(wait);
+        let input = DeskInput::Call {
+            token,
+            call,
+            deadline,
+        };
+        self.desk_input(entry, input);
+    }
+
+    pub fn answer(&self, entry: usize, token: u64) -> Option<&CallReply> {
+        let answers = &self.entries[entry].answers;
+        answers
+            .iter()
+            .find(|(known, _)| *known == token)
+            .map(|(_, reply)| reply)
+    }
+
+    fn wall(&self, entry: usize) -> Millis {
+        let wall = WALL + self.now.0;
+        Millis(wall.saturating_add_signed(self.entries[entry].skew))
+    }
+
+    pub fn desk_input(&mut self, entry: usize, input: DeskInput) {
+        let wall = self.wall(entry);
+        let Some(desk) = &mut self.entries[entry].desk else {
+            return;
+        };
+        let mut out = Vec::new();
+        desk.step(self.now, input, &mut out);
+        desk.flush(self.now, wall, &mut out);
+        for output in out {
+            match output {
+                DeskOutput::Answer(token, reply) => {
+                    self.entries[entry].answers.push((token, reply));
+                }
+                DeskOutput::Down(id, down) => self.down.push_back((self.now, id, down)),
+                DeskOutput::Send(..) => {}
+            }
+        }
+    }
+
+    pub fn agent_input(&mut self, agent: usize, input: ServerAgentInput) {
+        if self.agents[agent].frozen {
+            self.agents[agent].inbox.push(input);
+            return;
+        }
+        let mut out = Vec::new();
+        self.agents[agent].agent.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                ServerAgentOutput::Call(call) => self.calls.push_back((self.now, agent, call)),
+                ServerAgentOutput::Report(Owner::Entry(life), report) => {
+                    let session = self
+                        .sessions
+                        .iter()
+                        .find(|s| s.agent == agent && s.life == life);
+                    if let Some(session) = session {
+                        self.up
+                            .push_back((self.now, session.id, Up::Report(report)));
+                    }
+                }
+                ServerAgentOutput::Report(..) => {}
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = Millis(self.now.0 + 1);
+            self.connect();
+            self.deliver();
+            self.serve();
+            if self.now.0.is_multiple_of(20) {
+                self.tick();
+            }
+            if self.now.0.is_multiple_of(BEAT) {
+                self.beat();
+            }
+        }
+    }
+
+    fn connect(&mut self) {
+        for entry in 0..self.entries.len() {
+            for agent in 0..self.agents.len() {
+                let known = self
+                    .sessions
+                    .iter()
+                    .any(|s| (s.entry, s.agent) == (entry, agent));
+                let able = self.entries[entry].desk.is_some() && !self.agents[agent].frozen;
+                let retry = self.now.0.is_multiple_of(50);
+                if known || !able || !retry || self.cut.contains(&(entry, agent)) {
+                    continue;
+                }
+                self.last += 1;
+                let id = SessionId(self.last);
+                self.sessions.push(Session {
+                    entry,
+                    agent,
+                    life: self.entries[entry].life,
+                    id,
+                    heard: self.now.0,
+                });
+                let hello = Up::Hello(Who::Agent(format!("agent{agent}")));
+                self.up.push_back((self.now, id, hello));
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        while self.down.front().is_some_and(|(at, ..)| *at < now) {
+            let Some((_, id, down)) = self.down.pop_front() else {
+                break;
+            };
+            let Some(session) = self.sessions.iter_mut().find(|s| s.id == id) else {
+                continue;
+            };
+            if self.cut.contains(&(session.entry, session.agent)) {
+                continue;
+            }
+            session.heard = now.0;
+            let (agent, owner) = (session.agent, Owner::Entry(session.life));
+            let input = match down {
+                Down::Welcome { life, runs } => Some(ServerAgentInput::Welcome(life, runs)),
+                Down::Beat { at, grant } => {
+                    grant.map(|grant| ServerAgentInput::Granted(owner, at + grant))
+                }
+                Down::Order(order) => Some(ServerAgentInput::Order(owner, order)),
+                Down::Recorded { life, upto } => {
+                    Some(ServerAgentInput::Recorded { owner, life, upto })
+                }
+                _ => None,
+            };
+            if let Some(input) = input {
+                self.agent_input(agent, input);
+            }
+        }
+        while self.up.front().is_some_and(|(at, ..)| *at < now) {
+            let Some((_, id, up)) = self.up.pop_front() else {
+                break;
+            };
+            let Some(session) = self.sessions.iter().find(|s| s.id == id).cloned() else {
+                continue;
+            };
+            if !self.cut.contains(&(session.entry, session.agent)) {
+                self.desk_input(session.entry, DeskInput::Up(id, up));
+            }
+        }
+    }
+
+    /// Carries out calls to backend servers.
+    fn serve(&mut self) {
+        let now = self.now;
+        while let Some((_, agent, call)) = self.late.pop_front_if(|(at, ..)| *at <= now) {
+            self.agents[agent].server.call(now, &call);
+        }
+        while let Some((_, agent, call)) = self.calls.pop_front_if(|(at, ..)| *at < now) {
+            let start = matches!(call.kind, fulmardrift::ServerCallKind::Start { .. });
+            let reply = match self.agents[agent].late {
+                Some(delay) if start => {
+                    self.late.push_back((now + delay, agent, call.clone()));
+                    ServerReply::Silent
+                }
+                _ => self.agents[agent].server.call(now, &call),
+            };
+            self.reply(agent, call.id, reply);
+        }
+    }
+
+    fn reply(&mut self, agent: usize, id: CallId, reply: ServerReply) {
+        self.agent_input(agent, ServerAgentInput::Replied(id, reply));
+    }
+
+    fn tick(&mut self) {
+        for agent in 0..self.agents.len() {
+            let now = self.now;
+            self.agents[agent].server.tick(now);
+            if !self.agents[agent].frozen {
+                self.agent_input(agent, ServerAgentInput::Tick);
+            }
+        }
+        for entry in 0..self.entries.len() {
+            self.desk_input(entry, DeskInput::Tick);
+        }
+    }
+
+    fn beat(&mut self) {
+        for agent in 0..self.agents.len() {
+            let beat = self.agents[agent].server.beat();
+            self.agent_input(agent, ServerAgentInput::Beat(beat));
+        }
+        for session in self.sessions.clone() {
+            if !self.agents[session.agent].frozen {
+                self.up
+                    .push_back((self.now, session.id, Up::Beat(self.now)));
+            }
+            let silent = self.now.0 - session.heard > SILENCE;
+            if silent && !self.agents[session.agent].frozen {
+                self.sessions.retain(|s| s.id != session.id);
+                self.agent_input(session.agent, ServerAgentInput::EntryGone(session.life));
+                self.desk_input(session.entry, DeskInput::Closed(session.id));
+            }
+        }
+    }
+
+    /// All that ran, in order of start.
+    pub fn spans(&self) -> Vec<Span> {
+        let mut spans: Vec<Span> = Vec::new();
+        for slot in &self.agents {
+            spans.extend_from_slice(&slot.server.spans);
+        }
+        spans.sort_by_key(|span| span.from);
+        spans
+    }
+
+    /// Pairs of runs of one task that overlap.
+    pub fn overlaps(&self) -> Vec<(Span, Span)> {
+        let spans = self.spans();
+        let mut pairs = Vec::new();
+        for (i, a) in spans.iter().enumerate() {
+            for b in &spans[i + 1..] {
+                let apart = a.to.is_some_and(|to| to <= b.from);
+                if a.task == b.task && !apart {
+                    pairs.push((*a, *b));
+                }
+            }
+        }
+        pairs
+    }
+}
--- /dev/null
+++ b/tests/fakes/server.rs
@@ -0,0 +1,215 @@
+//! A backend server in virtual time: runs under leases, tokens and run numbers.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use fulmardrift::{
+    Beat, Denial, Ending, Lists, Millis, Resources, Run, ServerCall, ServerCallKind, ServerReply,
+    TaskId,
+};
+
+/// A run in progress.
+#[derive(Debug, Clone, Copy)]
+struct Working {
+    since: Millis,
+    until_done: Millis,
+}
+
+/// What a server has seen of one task, for the checks of a test.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    pub task: TaskId,
+    pub run: Run,
+    pub from: Millis,
+    /// `None` while it runs.
+    pub to: Option<Millis>,
+    pub how: Option<Ending>,
+}
+
+#[derive(Debug)]
+pub struct FakeServer {
+    pub id: String,
+    pub born: u64,
+    pub place: String,
+    pub capacity: Resources,
+    /// How long each run takes.
+    pub work: Millis,
+    /// Runs stand still.
+    pub hangs: bool,
+    pub leaving: bool,
+    pub sequence: u64,
+    token: u64,
+    lease: Millis,
+    running: BTreeMap<(TaskId, Run), Working>,
+    highest: BTreeMap<TaskId, Run>,
+    ends: Vec<(u64, TaskId, Run, Ending)>,
+    last_end: u64,
+    pub spans: Vec<Span>,
+}
+
+impl FakeServer {
+    pub fn new(id: &str, place: &str, work: Millis) -> Self {
+        Self {
+            id: id.to_owned(),
+            born: 1_000,
+            place: place.to_owned(),
+            capacity: Resources {
+                cpu: 4_000,
+                memory: 1_000,
+                gpu: 0,
+            },
+            work,
+            hangs: false,
+            leaving: false,
+            sequence: 0,
+            token: 0,
+            lease: Millis(0),
+            running: BTreeMap::new(),
+            highest: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+            spans: Vec::new(),
+        }
+    }
+
+    pub fn beat(&mut self) -> Beat {
+        self.sequence += 1;
+        Beat {
+            id: self.id.clone(),
+            born: Some(self.born),
+            sequence: self.sequence,
+            service: "desk".to_owned(),
+            place: self.place.clone(),
+            capacity: self.capacity,
+            labels: vec!["a".to_owned(), "r1-1".to_owned()],
+            leaving: self.leaving,
+        }
+    }
+
+    /// Dies and comes back as another life.
+    pub fn crash(&mut self, now: Millis) {
+        let keys: Vec<_> = self.running.keys().copied().collect();
+        for key in keys {
+            self.finish(now, key, Ending::Lost);
+        }
+        self.ends.clear();
+        self.last_end = 0;
+        self.token = 0;
+        self.sequence = 0;
+        self.highest.clear();
+        self.born += 10_000;
+    }
+
+    pub fn runs(&self) -> usize {
+        self.running.len()
+    }
+
+    fn finish(&mut self, now: Millis, key: (TaskId, Run), how: Ending) {
+        self.running.remove(&key);
+        self.last_end += 1;
+        self.ends.push((self.last_end, key.0, key.1, how));
+        for span in &mut self.spans {
+            if (span.task, span.run) == key && span.to.is_none() {
+                span.to = Some(now);
+                span.how = Some(how);
+            }
+        }
+    }
+
+    pub fn tick(&mut self, now: Millis) {
+        let lapsed = now > self.lease;
+        let keys: Vec<_> = self.running.iter().map(|(k, w)| (*k, *w)).collect();
+        for (key, work) in keys {
+            if !self.hangs && work.until_done <= now && work.until_done <= self.lease {
+                self.finish(work.until_done, key, Ending::Done);
+            } else if lapsed {
+                self.finish(now, key, Ending::Lost);
+            }
+        }
+    }
+
+    /// Answers a call as it arrives.
+    pub fn call(&mut self, now: Millis, call: &ServerCall) -> ServerReply {
+        self.tick(now);
+        if call.server != self.id {
+            return ServerReply::OtherLife;
+        }
+        if call.token < self.token {
+            return ServerReply::Fenced;
+        }
+        self.token = call.token;
+        match &call.kind {
+            ServerCallKind::Start {
+                task, run, until, ..
+            } => self.start(now, (*task, *run), *until),
+            ServerCallKind::Stop { task, run } => {
+                self.seal(*task, *run);
+                if self.running.contains_key(&(*task, *run)) {
+                    self.finish(now, (*task, *run), Ending::Lost);
+                }
+                ServerReply::Stopped
+            }
+            ServerCallKind::Hold { seen, until, .. } => {
+                self.ends.retain(|(number, ..)| number > seen);
+                if let Some(until) = until {
+                    self.lease = self.lease.max(*until);
+                }
+                ServerReply::Held(self.lists(now))
+            }
+        }
+    }
+
+    fn seal(&mut self, task: TaskId, run: Run) {
+        let highest = self.highest.entry(task).or_insert(run);
+        *highest = (*highest).max(run);
+    }
+
+    fn start(&mut self, now: Millis, key: (TaskId, Run), until: Millis) -> ServerReply {
+        if self.running.contains_key(&key) {
+            return ServerReply::Started { clock: now };
+        }
+        if until < now {
+            return ServerReply::Denied(Denial::Stale);
+        }
+        self.lease = self.lease.max(until);
+        if self
+            .highest
+            .get(&key.0)
+            .is_some_and(|highest| key.1 <= *highest)
+        {
+            return ServerReply::Denied(Denial::Stale);
+        }
+        self.seal(key.0, key.1);
+        let work = Working {
+            since: now,
+            until_done: now + self.work,
+        };
+        self.running.insert(key, work);
+        self.spans.push(Span {
+            task: key.0,
+            run: key.1,
+            from: now,
+            to: None,
+            how: None,
+        });
+        ServerReply::Started { clock: now }
+    }
+
+    fn lists(&self, now: Millis) -> Lists {
+        let percent = |w: &Working| {
+            let done = now.since(w.since).0 * 100 / self.work.0.max(1);
+            u32::try_from(if self.hangs { 0 } else { done.min(99) }).unwrap_or(0)
+        };
+        Lists {
+            clock: now,
+            born: Some(self.born),
+            running: self
+                .running
+                .iter()
+                .map(|((task, run), w)| (*task, *run, percent(w)))
+                .collect(),
+            ended: self.ends.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/loose_jobs.rs
@@ -0,0 +1,262 @@
+//! Jobs that are not stored: run from an entry, over agents, in virtual time.
+
+#[path = "fakes/fleet.rs"]
+mod fleet;
+#[path = "fakes/server.rs"]
+mod server;
+
+use fulmardrift::{
+    Call, CallReply, DeskInput, Ending, JobId, Millis, ServerAgentInput, State, Want,
+};
+
+use fleet::{Fleet, job, submit};
+
+const COMPLETED: CallReply = CallReply::State(State::Completed);
+
+/// A caller that lost its entry submits again so much later.
+const RESEND: u64 = 1_300;
+
+#[test]
+fn each_task_runs_once_and_the_end_answers() {
+    let mut fleet = Fleet::new(2, 3, 50);
+    fleet.call(0, 1, submit(JobId(7), job(6, 50, true)), 1_500);
+    fleet.run(200);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    let spans = fleet.spans();
+    assert_eq!(spans.len(), 6);
+    assert!(spans.iter().all(|s| s.how == Some(Ending::Done)));
+}
+
+#[test]
+fn a_second_submission_gets_the_first_ones_end() {
+    let mut fleet = Fleet::new(1, 2, 100);
+    fleet.call(0, 1, submit(JobId(7), job(2, 100, true)), 1_500);
+    fleet.run(20);
+    fleet.call(0, 2, submit(JobId(7), job(2, 100, true)), 1_500);
+    fleet.run(300);
+    fleet.call(0, 3, submit(JobId(7), job(2, 100, true)), 1_500);
+    fleet.run(10);
+    for token in 1..=3 {
+        assert_eq!(fleet.answer(0, token), Some(&COMPLETED), "call {token}");
+    }
+    assert_eq!(fleet.spans().len(), 2);
+}
+
+#[test]
+fn a_job_of_a_killed_entry_never_runs_twice_at_a_time() {
+    for work in [300, 2_000] {
+        let mut fleet = Fleet::new(2, 3, work);
+        fleet.call(0, 1, submit(JobId(7), job(3, work, true)), 5_000);
+        fleet.run(100);
+        fleet.kill_entry(0);
+        fleet.run(RESEND);
+        fleet.call(1, 2, submit(JobId(7), job(3, work, true)), 5_000);
+        fleet.run(2 * work + 500);
+        assert_eq!(fleet.answer(1, 2), Some(&COMPLETED), "work {work}");
+        assert_eq!(fleet.overlaps(), [], "work {work}");
+    }
+}
+
+#[test]
+fn a_restarted_entry_does_not_meet_its_former_runs() {
+    let mut fleet = Fleet::new(1, 2, 2_000);
+    fleet.call(0, 1, submit(JobId(7), job(2, 2_000, true)), 5_000);
+    fleet.run(100);
+    fleet.kill_entry(0);
+    fleet.run(300);
+    fleet.start_entry(0);
+    fleet.run(RESEND - 300);
+    fleet.call(0, 2, submit(JobId(7), job(2, 2_000, true)), 5_000);
+    fleet.run(2_500);
+    assert_eq!(fleet.answer(0, 2), Some(&COMPLETED));
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn an_entry_with_a_slow_wall_clock_can_take_a_job_over() {
+    let mut fleet = Fleet::new(2, 1, 2_000);
+    fleet.entries[1].skew = -5_000;
+    fleet.call(0, 1, submit(JobId(7), job(1, 2_000, true)), 5_000);
+    fleet.run(100);
+    fleet.kill_entry(0);
+    fleet.run(RESEND);
+    fleet.call(1, 2, submit(JobId(7), job(1, 2_000, true)), 5_000);
+    fleet.run(2_500);
+    assert_eq!(fleet.answer(1, 2), Some(&COMPLETED));
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn runs_of_a_frozen_agent_start_elsewhere_only_after_their_lease() {
+    let mut fleet = Fleet::new(1, 2, 400);
+    fleet.call(0, 1, submit(JobId(7), job(2, 400, true)), 8_000);
+    fleet.run(50);
+    fleet.agents[0].frozen = true;
+    fleet.run(3_500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    fleet.wake(0);
+    fleet.run(1_000);
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn a_cut_between_entry_and_agent_ends_the_runs_behind_it() {
+    let mut fleet = Fleet::new(1, 2, 2_000);
+    fleet.call(0, 1, submit(JobId(7), job(4, 2_000, true)), 9_000);
+    fleet.run(100);
+    fleet.cut.push((0, 0));
+    fleet.run(1_000);
+    assert_eq!(fleet.agents[0].server.runs(), 0, "the grant has lapsed");
+    fleet.run(5_000);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    fleet.cut.clear();
+    fleet.run(1_000);
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn a_restarted_agent_keeps_the_runs_that_its_entry_claims() {
+    let mut fleet = Fleet::new(1, 1, 600);
+    fleet.call(0, 1, submit(JobId(7), job(3, 600, true)), 5_000);
+    fleet.run(100);
+    fleet.restart_agent(0);
+    fleet.run(1_000);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.spans().len(), 3, "nothing was started again");
+}
+
+#[test]
+fn a_start_carried_out_late_is_refused() {
+    let mut fleet = Fleet::new(1, 2, 100);
+    fleet.agents[0].late = Some(Millis(2_500));
+    fleet.agents[1].late = Some(Millis(2_500));
+    fleet.call(0, 1, submit(JobId(7), job(2, 100, true)), 5_000);
+    fleet.run(30);
+    fleet.agents[0].late = None;
+    fleet.agents[1].late = None;
+    fleet.run(4_000);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.spans().len(), 2, "the late starts did nothing");
+}
+
+#[test]
+fn a_crashed_backend_servers_tasks_run_elsewhere() {
+    let mut fleet = Fleet::new(1, 2, 300);
+    fleet.call(0, 1, submit(JobId(7), job(4, 300, true)), 5_000);
+    fleet.run(50);
+    let now = fleet.now;
+    fleet.agents[0].server.crash(now);
+    fleet.run(1_500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn a_run_that_stands_still_is_moved() {
+    let mut fleet = Fleet::new(1, 2, 100);
+    fleet.agents[0].server.hangs = true;
+    fleet.call(0, 1, submit(JobId(7), job(4, 100, true)), 5_000);
+    fleet.run(2_500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn a_healthy_long_run_is_not_moved() {
+    let mut fleet = Fleet::new(1, 2, 900);
+    fleet.call(0, 1, submit(JobId(7), job(2, 300, true)), 5_000);
+    fleet.run(1_200);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.spans().len(), 2, "an estimate three times too short");
+}
+
+#[test]
+fn nothing_starts_on_a_leaving_server_or_in_a_data_centre_that_is_out() {
+    let mut fleet = Fleet::new(1, 3, 50);
+    fleet.agents[0].server.leaving = true;
+    let beat = fleet.agents[0].server.beat();
+    fleet.agent_input(0, ServerAgentInput::Beat(beat));
+    fleet.desk_input(0, DeskInput::Out(5, vec!["dc1".to_owned()]));
+    fleet.call(0, 1, submit(JobId(7), job(8, 50, true)), 5_000);
+    fleet.run(400);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.agents[0].server.spans, []);
+    assert_eq!(fleet.agents[1].server.spans, []);
+}
+
+#[test]
+fn an_agent_itself_refuses_starts_while_its_data_centre_is_out() {
+    let mut fleet = Fleet::new(1, 2, 50);
+    let places = vec!["dc0".to_owned()];
+    fleet.agent_input(0, ServerAgentInput::Out(5, places));
+    fleet.call(0, 1, submit(JobId(7), job(6, 50, true)), 5_000);
+    fleet.run(1_000);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.agents[0].server.spans, []);
+}
+
+#[test]
+fn capacity_is_never_exceeded_by_entries_that_compete() {
+    let mut fleet = Fleet::new(3, 2, 100);
+    for entry in 0..3 {
+        let id = JobId(100 + entry as u64);
+        fleet.call(entry, 1, submit(id, job(6, 100, true)), 5_000);
+    }
+    let mut most = 0;
+    for _ in 0..600 {
+        fleet.run(1);
+        for slot in &fleet.agents {
+            most = most.max(slot.server.runs());
+        }
+    }
+    assert_eq!(most, 4, "four cores, a core a task");
+    for entry in 0..3 {
+        assert_eq!(fleet.answer(entry, 1), Some(&COMPLETED));
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_jobs_work() {
+    let mut fleet = Fleet::new(1, 1, 2_000);
+    fleet.call(0, 1, submit(JobId(7), job(2, 2_000, true)), 5_000);
+    fleet.run(100);
+    fleet.desk_input(0, DeskInput::Left(1));
+    fleet.run(100);
+    assert_eq!(fleet.agents[0].server.runs(), 0);
+}
+
+#[test]
+fn a_refusal_is_only_said_of_what_never_ran() {
+    // Four cores, and each job wants one for long: most find no room in time.
+    let mut fleet = Fleet::new(1, 1, 1_500);
+    for token in 0..12 {
+        let id = JobId(token);
+        fleet.call(0, token, submit(id, job(1, 200, true)), 2_000);
+    }
+    fleet.run(2_500);
+    let mut refused = 0;
+    for token in 0..12 {
+        let ran = fleet.spans().iter().any(|s| s.task.job == JobId(token));
+        match fleet.answer(0, token) {
+            Some(CallReply::Refused(_)) => {
+                refused += 1;
+                assert!(!ran, "job {token} was refused and ran");
+            }
+            Some(_) => assert!(ran),
+            None => panic!("job {token} has no answer"),
+        }
+    }
+    assert!(refused > 0);
+}
+
+#[test]
+fn an_unknown_queue_is_told_from_the_configuration_in_force() {
+    let mut fleet = Fleet::new(1, 1, 50);
+    let call = Call::Client {
+        host: "desk.example".to_owned(),
+        path: "/other/0000000000000001".to_owned(),
+        want: Want::Look,
+    };
+    fleet.call(0, 1, call, 1_000);
+    assert_eq!(fleet.answer(0, 1), Some(&CallReply::NoQueue));
+}
