--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -659,7 +659,14 @@
             return;
         }
         self.clock = Some((lists.clock, now));
-        let before = self.looked.map_or(Term(0), |(_, term)| term);
+        let before = match self.looked {
+            Some((_, term)) => term,
+            None => {
+                // What an earlier life of this agent started may have a whole lease.
+                self.note_lease(now);
+                Term(0)
+            }
+        };
         self.looked = Some((life, term.max(before)));
         self.take_ends(now, &lists, out);
         self.take_running(now, sent, &lists, out);
