--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -110,7 +110,7 @@
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Starts collecting metrics; a second call changes nothing.
-pub(crate) fn start_metrics() {
+pub fn start_metrics() {
     if METRICS.get().is_some() {
         return;
     }
@@ -121,7 +121,7 @@
 }
 
 /// The metrics in Prometheus' text format.
-pub(crate) fn metrics_text() -> String {
+pub fn metrics_text() -> String {
     METRICS
         .get()
         .map(PrometheusHandle::render)
--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -173,9 +173,9 @@
             self.entries.truncate(at);
             self.entries.extend_from_slice(entries);
             self.naming.retain(|index| *index < first.position.index);
-            let names = |e: &&LogEntry| matches!(e.payload, Payload::Voters(_));
-            let named = entries.iter().filter(names).map(|e| e.position.index);
-            self.naming.extend(named);
+            let naming = |e: &&LogEntry| matches!(e.payload, Payload::Voters(_));
+            let places = entries.iter().filter(naming).map(|e| e.position.index);
+            self.naming.extend(places);
         }
     }
 
--- /dev/null
+++ b/src/dispatch/agent_ticks.rs
@@ -0,0 +1,156 @@
+//! An agent's regular work: what lapses, what is sent again, what is told late.
+
+use super::agent::{Agent, AgentOutput, HOLD_WAIT};
+use super::boss::Owner;
+use super::held::{Held, Phase};
+use super::spec::{Ending, Run, TaskId};
+use super::wire::Report;
+use crate::core::clock::Millis;
+use crate::core::table::Table;
+use crate::events;
+
+/// Pause between stops of a run whose end is not listed yet.
+const STOP_RETRY: Millis = Millis(150);
+/// Between reports of progress.
+const PROGRESS_EVERY: Millis = Millis(200);
+/// Between reports of what other dispatchers use.
+const OTHERS_EVERY: Millis = Millis(8);
+/// A run or an end that no dispatcher claims is given up after this: sessions are
+/// opened anew well inside it.
+const CLAIM_WITHIN: Millis = Millis(1_000);
+/// A dispatcher without a session is forgotten so long after its grant.
+const FORGET_AFTER: Millis = Millis(3_000);
+
+impl Agent {
+    pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        self.stop_lapsed(now, out);
+        if self.server.is_none() {
+            return;
+        }
+        self.give_up_lapsed(now, out);
+        if self.holding == 0 && now >= self.next_hold {
+            let wait = if self.ends.is_empty() {
+                HOLD_WAIT
+            } else {
+                Millis(0)
+            };
+            self.look(now, wait, out);
+        }
+        let overdue =
+            |held: &Held| held.phase == Phase::Stopping && now.since(held.at) >= STOP_RETRY;
+        let overdue: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, h)| overdue(h))
+            .map(|(k, _)| *k)
+            .collect();
+        for key in overdue {
+            self.stop(now, key, out);
+        }
+        self.forget_unclaimed(now, out);
+        self.tell_progress(now, out);
+    }
+
+    /// Stops the runs of dispatchers whose grant has lapsed.
+    pub(crate) fn stop_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        let mut stop = Vec::new();
+        for (key, held) in self.runs.iter() {
+            let granted = self
+                .bosses
+                .get(&held.owner)
+                .map_or(Millis(0), |b| b.granted);
+            let fresh = held.found && now.since(held.at) < CLAIM_WITHIN;
+            if now >= granted && !fresh && !held.phase.is_stopping() {
+                stop.push((*key, held.owner));
+            }
+        }
+        for (key, owner) in stop {
+            events::GRANT_LAPSED.log(format_args!(
+                "task={} run={} owner={owner:?}",
+                key.0, key.1.0
+            ));
+            self.stop(now, key, out);
+        }
+        self.bosses.retain(|owner, boss| {
+            *owner == Owner::Group || boss.linked || now.since(boss.granted) < FORGET_AFTER
+        });
+    }
+
+    /// When the backend server's lease has run out without an answer, nothing can
+    /// run there any more; ends are listed when it answers again.
+    pub(crate) fn give_up_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        if self.runs.is_empty() || now <= self.leased {
+            return;
+        }
+        let runs = self.runs.len();
+        events::LEASE_LAPSED.log(format_args!("life={} runs={runs}", self.life()));
+        self.runs = Table::default();
+        self.looked = None;
+        for (owner, boss) in self.bosses.iter_mut() {
+            if boss.told {
+                boss.told = false;
+                let inventory = Report::Inventory {
+                    epoch: boss.epoch,
+                    server: None,
+                    runs: Vec::new(),
+                };
+                out.push(AgentOutput::Report(*owner, inventory));
+            }
+        }
+    }
+
+    /// Ends of dispatchers that are gone need no record.
+    pub(crate) fn forget_unclaimed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        for end in &mut self.ends {
+            let gone = match end.owner {
+                Owner::Group => false,
+                Owner::Entry(_) => self.bosses.get(&end.owner).is_none(),
+                Owner::Unclaimed => now.since(end.at) >= CLAIM_WITHIN,
+            };
+            let lost = end.owner != Owner::Group && end.end.how == Ending::Lost;
+            end.recorded |= gone || (lost && now.since(end.at) >= FORGET_AFTER);
+        }
+        self.drop_recorded(now, out);
+    }
+
+    pub(crate) fn tell_progress(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        if now.since(self.progress) < PROGRESS_EVERY {
+            return;
+        }
+        self.progress = now;
+        let mut by_owner: Table<Owner, Vec<(TaskId, Run, u32)>> = Table::default();
+        for ((task, run), held) in self.runs.iter() {
+            if held.phase == Phase::Running && now.since(held.at) >= PROGRESS_EVERY {
+                let rows = by_owner.or_insert_with(held.owner, Vec::new);
+                rows.push((*task, *run, held.percent));
+            }
+        }
+        for (owner, rows) in by_owner.iter() {
+            self.report(*owner, Report::Progress(rows.clone()), out);
+        }
+    }
+
+    /// Tells each dispatcher what the others' runs take.
+    pub(crate) fn tell_others(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        if !self.others_due || now.since(self.others_told) < OTHERS_EVERY {
+            return;
+        }
+        self.others_due = false;
+        self.others_told = now;
+        let told: Vec<_> = self
+            .bosses
+            .iter()
+            .filter(|(_, b)| b.told)
+            .map(|(o, _)| *o)
+            .collect();
+        for owner in told {
+            let used = self.used(Some(owner));
+            if let Some(boss) = self.bosses.get_mut(&owner)
+                && boss.others != Some(used)
+            {
+                boss.others = Some(used);
+                out.push(AgentOutput::Report(owner, Report::Others(used)));
+            }
+        }
+    }
+}
--- a/src/dispatch/call.rs
+++ b/src/dispatch/call.rs
@@ -64,3 +64,26 @@
     /// It may or may not have been taken.
     Unknown,
 }
+
+impl Reply {
+    /// A short name, for metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::State(State::Completed) => "completed",
+            Self::State(State::Failed) => "failed",
+            Self::State(_) => "state",
+            Self::Pending(_) => "pending",
+            Self::Document(_) => "document",
+            Self::NoQueue => "no-queue",
+            Self::NoJob => "no-job",
+            Self::Invalid(_) => "invalid",
+            Self::Conflict => "conflict",
+            Self::Refused(_) => "refused",
+            Self::NoSetup => "no-setup",
+            Self::NotLeader => "not-leader",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- a/src/dispatch/desk.rs
+++ b/src/dispatch/desk.rs
@@ -26,7 +26,7 @@
 const RECENT: Millis = Millis(5_000);
 /// How long a call waits for the first configuration: a leader is found within it,
 /// unless the control group is down.
-const PARKED_FOR: Millis = Millis(600);
+const PARKED_FOR: Millis = Millis(900);
 /// Stored jobs' ends are not kept here; nothing to forget.
 const NO_KEEP: Millis = Millis(0);
 
@@ -427,8 +427,8 @@
         }
     }
 
-    /// Refuses what has not been started and cannot be of use any more, so that the
-    /// callers know at once.
+    /// Gives up what cannot be of use any more, so that the callers know at once:
+    /// what has not been started, and under shortage also what has.
     fn refuse_hopeless(&mut self, now: Millis, out: &mut Vec<DeskOutput>) {
         let mut hopeless = Vec::new();
         for (token, open) in self.open.iter() {
@@ -438,6 +438,7 @@
                 Way::Local(id) => {
                     let late = self.dispatcher.is_overdue(now, *id) || waited >= half;
                     late && !self.dispatcher.has_ordered(*id)
+                        || self.dispatcher.is_in_the_way(now, *id)
                 }
                 Way::Parked(_) => waited >= PARKED_FOR,
                 Way::Forward { .. } => false,
@@ -452,11 +453,12 @@
                     "call={token} way={:?} waited_ms={}",
                     open.way, waited.0
                 ));
-                self.leave(now, token, &open);
                 let reply = match open.way {
                     Way::Parked(_) => Reply::NoSetup,
+                    Way::Local(id) if self.dispatcher.has_ordered(id) => Reply::Unknown,
                     _ => Reply::Refused(RETRY_AFTER),
                 };
+                self.leave(now, token, &open);
                 out.push(DeskOutput::Answer(token, reply));
             }
         }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,8 @@
 //! touches a disk, a socket or a clock.
 
 pub(crate) mod agent;
+pub(crate) mod agent_replies;
+pub(crate) mod agent_ticks;
 pub(crate) mod book;
 pub(crate) mod boss;
 pub(crate) mod call;
@@ -13,9 +15,13 @@
 pub(crate) mod dispatcher;
 pub(crate) mod held;
 pub(crate) mod live;
+pub(crate) mod news;
+pub(crate) mod placing;
 pub(crate) mod replica;
+pub(crate) mod reports;
 pub(crate) mod routes;
 pub(crate) mod server_call;
+pub(crate) mod slow;
 pub(crate) mod spec;
 pub(crate) mod wire;
 pub(crate) mod worker;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -2,7 +2,6 @@
 //! the dispatcher.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 use bytes::Bytes;
 use snafu::{ResultExt, Snafu};
@@ -92,7 +91,7 @@
 
 /// What awaits the commit of an entry.
 #[derive(Debug)]
-enum Waiter {
+pub(crate) enum Waiter {
     Nobody,
     Call(Origin),
     /// A configuration, whose fate is known once it is applied.
@@ -103,23 +102,23 @@
 /// One control instance.
 #[derive(Debug)]
 pub struct Replica {
-    raft: Raft,
-    book: Book,
-    times: ReplicaTimes,
-    lead: Option<Dispatcher>,
-    sessions: Table<SessionId, Who>,
+    pub(crate) raft: Raft,
+    pub(crate) book: Book,
+    pub(crate) times: ReplicaTimes,
+    pub(crate) lead: Option<Dispatcher>,
+    pub(crate) sessions: Table<SessionId, Who>,
     // Proposals in log order.
-    pending: VecDeque<(Index, Waiter)>,
+    pub(crate) pending: VecDeque<(Index, Waiter)>,
     // Entries for the next batch.
-    batch: Vec<(Entry, Waiter)>,
+    pub(crate) batch: Vec<(Entry, Waiter)>,
     // What was last told to all sessions.
-    told: Option<(bool, Term, Vec<u64>)>,
-    raw: Vec<RaftOutput>,
-    acts: Vec<DispatchOutput>,
+    pub(crate) told: Option<(bool, Term, Vec<u64>)>,
+    pub(crate) raw: Vec<RaftOutput>,
+    pub(crate) acts: Vec<DispatchOutput>,
     // What was last told of data centres, configuration and entries.
-    told_out: Option<Vec<String>>,
-    told_setup: Option<u64>,
-    told_entries: Vec<u64>,
+    pub(crate) told_out: Option<Vec<String>>,
+    pub(crate) told_setup: Option<u64>,
+    pub(crate) told_entries: Vec<u64>,
 }
 
 impl Replica {
@@ -190,7 +189,7 @@
         self.take_raft(now, out)
     }
 
-    fn tick(&mut self, now: Millis) {
+    pub(crate) fn tick(&mut self, now: Millis) {
         let mut raw = std::mem::take(&mut self.raw);
         self.raft.step(now, RaftInput::Tick, &mut raw);
         self.raw = raw;
@@ -225,7 +224,7 @@
     }
 
     /// Becomes the dispatcher once all entries of former terms are applied.
-    fn take_lead(&mut self, now: Millis) {
+    pub(crate) fn take_lead(&mut self, now: Millis) {
         let term = self.raft.term();
         if !self.raft.is_leader() {
             if self.lead.take().is_some() {
@@ -246,103 +245,13 @@
         self.lead = Some(lead);
     }
 
-    fn tell_status(&mut self, out: &mut Vec<ReplicaOutput>) {
-        let status = self.status();
-        if self.told.as_ref() == Some(&status) {
-            return;
-        }
-        let (leads, term, members) = status.clone();
-        self.told = Some(status);
-        for (session, _) in self.sessions.iter() {
-            let members = members.clone();
-            let down = Down::Status {
-                leads,
-                term,
-                members,
-            };
-            out.push(ReplicaOutput::Down(*session, down));
-        }
-    }
-
-    /// Tells entries and agents, as the leader, what changed.
-    fn tell_news(&mut self, out: &mut Vec<ReplicaOutput>) {
-        if self.lead.is_none() {
-            self.told_out = None;
-            self.told_setup = None;
-            self.told_entries.clear();
-            return;
-        }
-        if self.told_out.as_ref() != Some(&self.book.out) {
-            self.told_out = Some(self.book.out.clone());
-            self.tell_all(&self.news_out(), |_| true, out);
-        }
-        let version = self.book.setup.as_ref().map(|s| s.version);
-        if self.told_setup != version {
-            self.told_setup = version;
-            if let Some(down) = self.news_setup() {
-                self.tell_all(&down, is_entry, out);
-            }
-        }
-        let entries = self.entries();
-        if self.told_entries != entries {
-            self.told_entries.clone_from(&entries);
-            self.tell_all(&Down::Entries(entries), |who| !is_entry(who), out);
-        }
-    }
-
-    fn news_out(&self) -> Down {
-        Down::Out(self.book.applied, self.book.out.clone())
-    }
-
-    fn news_setup(&self) -> Option<Down> {
-        let setup = self.book.setup.as_ref()?;
-        let short = Setup {
-            document: Vec::new(),
-            ..setup.clone()
-        };
-        Some(Down::Setup(Arc::new(short)))
-    }
-
-    fn entries(&self) -> Vec<u64> {
-        let mut entries = Vec::new();
-        for (_, who) in self.sessions.iter() {
-            if let Who::Entry(_, address) = who {
-                entries.push(*address);
-            }
-        }
-        entries.sort_unstable();
-        entries.dedup();
-        entries
-    }
-
-    fn tell_all(&self, down: &Down, whom: fn(&Who) -> bool, out: &mut Vec<ReplicaOutput>) {
-        for (session, who) in self.sessions.iter() {
-            if whom(who) {
-                out.push(ReplicaOutput::Down(*session, down.clone()));
-            }
-        }
-    }
-
-    /// Brings a new session up to date.
-    fn greet(&self, session: SessionId, who: &Who, out: &mut Vec<ReplicaOutput>) {
-        if self.lead.is_none() {
-            return;
-        }
-        out.push(ReplicaOutput::Down(session, self.news_out()));
-        if !is_entry(who) {
-            let entries = Down::Entries(self.entries());
-            out.push(ReplicaOutput::Down(session, entries));
-        } else if let Some(down) = self.news_setup() {
-            out.push(ReplicaOutput::Down(session, down));
-        }
-    }
-
-    fn status(&self) -> (bool, Term, Vec<u64>) {
-        let members = self.raft.members().iter().map(|id| id.0).collect();
-        (self.lead.is_some(), self.raft.term(), members)
-    }
-
-    fn on_up(&mut self, now: Millis, session: SessionId, up: Up, out: &mut Vec<ReplicaOutput>) {
+    pub(crate) fn on_up(
+        &mut self,
+        now: Millis,
+        session: SessionId,
+        up: Up,
+        out: &mut Vec<ReplicaOutput>,
+    ) {
         match up {
             Up::Hello(who) => {
                 if let (Who::Agent(name), Some(lead)) = (&who, &mut self.lead) {
@@ -382,7 +291,13 @@
         }
     }
 
-    fn call(&mut self, now: Millis, origin: Origin, call: Call, out: &mut Vec<ReplicaOutput>) {
+    pub(crate) fn call(
+        &mut self,
+        now: Millis,
+        origin: Origin,
+        call: Call,
+        out: &mut Vec<ReplicaOutput>,
+    ) {
         if self.lead.is_none() || !self.raft.holds_lease(now) {
             out.push(answer(origin, Reply::NotLeader));
             return;
@@ -407,7 +322,7 @@
         }
     }
 
-    fn put_setup(&mut self, origin: Origin, setup: Setup) -> Option<Reply> {
+    pub(crate) fn put_setup(&mut self, origin: Origin, setup: Setup) -> Option<Reply> {
         let held = self.book.setup.as_ref();
         if held.is_some_and(|held| held.version > setup.version) {
             return Some(Reply::Done);
@@ -417,7 +332,13 @@
         None
     }
 
-    fn client(&mut self, origin: Origin, host: &str, path: &str, want: Want) -> Option<Reply> {
+    pub(crate) fn client(
+        &mut self,
+        origin: Origin,
+        host: &str,
+        path: &str,
+        want: Want,
+    ) -> Option<Reply> {
         let Some(setup) = &self.book.setup else {
             return Some(Reply::NoSetup);
         };
@@ -446,12 +367,11 @@
                 None
             }
             (_, Want::Submit(_)) => Some(Reply::Invalid("not a job".to_owned())),
-            (Target::NotAJob(_), _) => Some(Reply::NoJob),
-            (Target::Queue(_), Want::Cancel) => Some(Reply::NoJob),
+            (Target::NotAJob(_), _) | (Target::Queue(_), Want::Cancel) => Some(Reply::NoJob),
         }
     }
 
-    fn accept(&mut self, origin: Origin, id: JobId, terms: Terms, spec: JobSpec) {
+    pub(crate) fn accept(&mut self, origin: Origin, id: JobId, terms: Terms, spec: JobSpec) {
         let pending = self.pending.iter_mut().map(|(_, waiter)| waiter);
         let batched = self.batch.iter_mut().map(|(_, waiter)| waiter);
         for waiter in pending.chain(batched) {
@@ -466,7 +386,7 @@
         self.batch.push((entry, Waiter::Accept(id, vec![origin])));
     }
 
-    fn cancel(&mut self, origin: Origin, id: JobId) -> Option<Reply> {
+    pub(crate) fn cancel(&mut self, origin: Origin, id: JobId) -> Option<Reply> {
         match self.book.jobs.get(&id) {
             None => Some(Reply::NoJob),
             Some(Job::Ended(_)) => Some(Reply::Done),
@@ -478,7 +398,7 @@
         }
     }
 
-    fn state(&self, id: JobId) -> Reply {
+    pub(crate) fn state(&self, id: JobId) -> Reply {
         match self.book.jobs.get(&id) {
             None => Reply::NoJob,
             Some(Job::Ended(state)) => Reply::State(*state),
@@ -494,14 +414,18 @@
     }
 
     /// Jobs with these terms of which no task has started.
-    fn count_pending(&self, terms: &Terms) -> u64 {
+    pub(crate) fn count_pending(&self, terms: &Terms) -> u64 {
         let Some(lead) = &self.lead else {
             return 0;
         };
         lead.count_pending(terms)
     }
 
-    fn propose(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
+    pub(crate) fn propose(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<ReplicaOutput>,
+    ) -> Result<(), ReplicaError> {
         if self.batch.is_empty() {
             return Ok(());
         }
@@ -530,7 +454,7 @@
         Ok(())
     }
 
-    fn take_acts(&mut self, out: &mut Vec<ReplicaOutput>) {
+    pub(crate) fn take_acts(&mut self, out: &mut Vec<ReplicaOutput>) {
         for act in self.acts.drain(..) {
             match act {
                 // Only entries run jobs that are not stored.
@@ -541,7 +465,11 @@
         }
     }
 
-    fn take_raft(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
+    pub(crate) fn take_raft(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<ReplicaOutput>,
+    ) -> Result<(), ReplicaError> {
         for output in std::mem::take(&mut self.raw) {
             match output {
                 RaftOutput::Commit(entries) => {
@@ -561,7 +489,7 @@
         Ok(())
     }
 
-    fn apply(
+    pub(crate) fn apply(
         &mut self,
         now: Millis,
         entry: &LogEntry,
@@ -599,7 +527,7 @@
         Ok(())
     }
 
-    fn outcome(&self, waiter: &Waiter, changes: &[Change]) -> Reply {
+    pub(crate) fn outcome(&self, waiter: &Waiter, changes: &[Change]) -> Reply {
         match waiter {
             Waiter::Setup(_, version, document) => {
                 let held = self.book.setup.as_ref();
@@ -622,7 +550,7 @@
         }
     }
 
-    fn compact(&mut self, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
+    pub(crate) fn compact(&mut self, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
         let applied = Index(self.book.applied);
         if self.raft.backlog() < SNAPSHOT_AFTER || self.raft.committed() != applied {
             return Ok(());
@@ -641,10 +569,6 @@
     }
 }
 
-fn is_entry(who: &Who) -> bool {
-    matches!(who, Who::Entry(..))
-}
-
 fn settle(waiter: Waiter, reply: &Reply, out: &mut Vec<ReplicaOutput>) {
     match waiter {
         Waiter::Nobody => {}
--- a/src/events.rs
+++ b/src/events.rs
@@ -132,8 +132,9 @@
 }
 
 impl Event {
-    /// Writes the event to the log.
+    /// Counts the event and writes it to the log.
     pub(crate) fn log(&self, detail: fmt::Arguments<'_>) {
+        metrics::counter!("fulmardrift_events", "event" => self.name).increment(1);
         log::log!(self.level, "E{} {} {detail}", self.code, self.name);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 mod shell;
 mod store;
 
-pub use crate::cmd::{CmdError, Exit, daemon, tool};
+pub use crate::cmd::{CmdError, Exit, daemon, metrics_text, start_metrics, tool};
 pub use crate::config::{
     AgentConfig, Config, ConfigError, ControlConfig, EntryConfig, GroupMember, StandInConfig,
 };
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -37,10 +37,11 @@
 const EVENTS: usize = 4_096;
 /// Events taken before the actor proposes what they gave.
 const TURN: usize = 256;
-/// Times of the replicated log: an election ends well inside a lease.
+/// Times of the replicated log: several heartbeats fit into an election's wait, and
+/// an election well into a grant.
 const TIMING: RaftTiming = RaftTiming {
-    election: Millis(600),
-    heartbeat: Millis(100),
+    election: Millis(450),
+    heartbeat: Millis(90),
     margin: Millis(60),
 };
 /// How long a stopping leader waits for another to take over.
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -55,6 +55,7 @@
 #[derive(Debug, Clone)]
 pub struct EntryNode {
     tx: mpsc::Sender<Event>,
+    clock: Clock,
     last: Arc<AtomicU64>,
     open: Arc<AtomicUsize>,
     ready: Arc<AtomicBool>,
@@ -93,6 +94,7 @@
         events::STARTED.log(format_args!("entry name={} life={life}", cfg.name));
         Ok(Self {
             tx,
+            clock,
             last: Arc::new(AtomicU64::new(1)),
             open,
             ready,
@@ -102,6 +104,7 @@
     /// Puts a call to the leader; the answer comes within `wait`.
     pub async fn call(&self, call: Call, wait: Millis) -> Reply {
         let (tx, rx) = oneshot::channel();
+        let asked = self.clock.now();
         let token = self.last.fetch_add(1, Ordering::Relaxed);
         let mut leaving = Leaving {
             tx: &self.tx,
@@ -117,6 +120,9 @@
         }
         let reply = rx.await.unwrap_or(Reply::Unknown);
         leaving.token = None;
+        metrics::counter!("fulmardrift_calls", "reply" => reply.name()).increment(1);
+        let took = self.clock.now().since(asked);
+        metrics::histogram!("fulmardrift_call_ms").record(took.as_f64());
         reply
     }
 
@@ -233,7 +239,6 @@
 
     fn take_link(&mut self, event: LinkEvent) -> Option<DeskInput> {
         match self.links.take(event) {
-            News::Quiet => None,
             News::Leader(leader) => {
                 let link = leader.map(|(id, _)| id);
                 let term = leader.map_or(0, |(_, term)| term.0);
@@ -243,7 +248,7 @@
             News::Message(_, Down::Reply(token, reply)) => Some(DeskInput::Reply(token, reply)),
             News::Message(_, Down::Setup(setup)) => Some(DeskInput::Setup(setup)),
             News::Message(_, Down::Out(index, places)) => Some(DeskInput::Out(index, places)),
-            News::Message(..) => None,
+            News::Quiet | News::Message(..) => None,
         }
     }
 
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -23,7 +23,7 @@
     }
 
     /// Time since the start, plus one so that no reading is zero.
-    pub(crate) fn now(&self) -> Millis {
+    pub(crate) fn now(self) -> Millis {
         Millis(boot_millis().saturating_sub(self.start).saturating_add(1))
     }
 }
--- a/tests/loose_jobs.rs
+++ b/tests/loose_jobs.rs
@@ -249,6 +249,29 @@
     assert!(refused > 0);
 }
 
+#[test]
+fn under_shortage_a_job_past_use_is_given_up_at_once() {
+    // Four cores; the first job needs them three times over, far too long.
+    let mut fleet = Fleet::new(1, 1, 400);
+    fleet.call(0, 1, submit(JobId(1), job(12, 40, true)), 6_000);
+    fleet.run(100);
+    for token in 2..12 {
+        fleet.call(0, token, submit(JobId(token), job(1, 400, true)), 6_000);
+    }
+    fleet.run(700);
+    assert_eq!(fleet.answer(0, 1), Some(&CallReply::Unknown));
+    fleet.run(5_500);
+    assert_eq!(fleet.overlaps(), []);
+}
+
+#[test]
+fn without_shortage_a_late_job_is_finished() {
+    let mut fleet = Fleet::new(1, 1, 400);
+    fleet.call(0, 1, submit(JobId(1), job(12, 40, true)), 6_000);
+    fleet.run(1_500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+}
+
 #[test]
 fn an_unknown_queue_is_told_from_the_configuration_in_force() {
     let mut fleet = Fleet::new(1, 1, 50);
