An agent that is closed for now is left alone for a moment; news go before orders

Cause: a leader that had taken a data centre back in ordered before it told the agents, whose denial it answered with the same order at once, without end (tests/stored_jobs.rs overflowed its stack). Change: a denial counts like one for room, news are sent before orders. Tests of stored jobs over three replicas: loss of the leader at five moments, of all processes, of a disk.

--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -201,14 +201,16 @@
         }
     }
 
-    /// Ends a turn: starts tasks, proposes what has gathered, tells of changes of
-    /// the leadership.
+    /// Ends a turn: tells what changed, starts tasks, proposes what has gathered.
     ///
     /// # Errors
     ///
     /// As for [`Replica::step`].
     pub fn flush(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) -> Result<(), ReplicaError> {
         self.take_lead(now);
+        // News first: an agent must not get an order before what allows it.
+        self.tell_status(out);
+        self.tell_news(out);
         if self.raft.holds_lease(now)
             && let Some(lead) = &mut self.lead
         {
@@ -218,8 +220,6 @@
         self.propose(now, out)?;
         self.take_raft(now, out)?;
         self.take_acts(out);
-        self.tell_status(out);
-        self.tell_news(out);
         self.compact(out)
     }
 
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -276,7 +276,9 @@
                 self.release(now, id, key);
                 return;
             }
-            Denial::Closed | Denial::Stale => {}
+            // It may be told soon what this dispatcher knows already.
+            Denial::Closed => self.workers[id.0].is_full(now),
+            Denial::Stale => {}
         }
         if let Some(live) = self
             .jobs
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -153,7 +153,7 @@
         self.pace += (ratio - self.pace) * PACE_WEIGHT;
     }
 
-    /// It had no room for an order.
+    /// It had no room for an order, or is closed for now.
     pub(crate) fn is_full(&mut self, now: Millis) {
         self.full = now + FULL_FOR;
     }
--- /dev/null
+++ b/tests/stored_jobs.rs
@@ -0,0 +1,411 @@
+//! Stored jobs: three replicas, an agent and its backend server, in virtual time.
+
+#[path = "fakes/fleet.rs"]
+mod fleet;
+#[path = "fakes/server.rs"]
+mod server;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fulmardrift::{
+    AgentTimes, Call, CallReply, DiskId, Down, Durable, JobId, Millis, Owner, Raft, RaftOutput,
+    RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, ServerAgent,
+    ServerAgentInput, ServerAgentOutput, SessionId, Setup, State, Term, Up, Want, Who,
+};
+
+use fleet::{HOLD, job, setup, submit};
+use server::FakeServer;
+
+const TIMES: ReplicaTimes = ReplicaTimes {
+    hold: HOLD,
+    keep: Millis(120_000),
+};
+const TIMING: RaftTiming = RaftTiming {
+    election: Millis(450),
+    heartbeat: Millis(90),
+    margin: Millis(60),
+};
+/// A sync of a disk.
+const SYNC: u64 = 9;
+const AGENT: SessionId = SessionId(1);
+
+struct Slot {
+    replica: Option<Replica>,
+    disk: DiskId,
+    records: Vec<Record>,
+    unsynced: VecDeque<(u64, u64, Vec<Record>)>,
+}
+
+/// The group; its agent has a session with every replica.
+struct Group {
+    now: Millis,
+    slots: Vec<Slot>,
+    net: VecDeque<(u64, ReplicaId, ReplicaInput)>,
+    agent: ServerAgent,
+    server: FakeServer,
+    leader: Option<(usize, Term)>,
+    calls: VecDeque<fulmardrift::ServerCall>,
+    replies: BTreeMap<u64, CallReply>,
+    tokens: u64,
+}
+
+impl Group {
+    fn new(work: u64) -> Self {
+        let mut group = Self {
+            now: Millis(1),
+            slots: Vec::new(),
+            net: VecDeque::new(),
+            agent: ServerAgent::new(AgentTimes { hold: HOLD }),
+            server: FakeServer::new("s0", "dc0", Millis(work)),
+            leader: None,
+            calls: VecDeque::new(),
+            replies: BTreeMap::new(),
+            tokens: 0,
+        };
+        for at in 0..3 {
+            group.slots.push(Slot {
+                replica: None,
+                disk: DiskId(100 + at),
+                records: vec![Record::Disk(DiskId(100 + at))],
+                unsynced: VecDeque::new(),
+            });
+        }
+        for at in 0..3 {
+            group.start(at, true);
+        }
+        let beat = group.server.beat();
+        group.agent_input(ServerAgentInput::Beat(beat));
+        group.run(2_500);
+        assert_eq!(group.ask(Call::PutSetup(Some(setup(1)))), CallReply::Done);
+        group
+    }
+
+    fn start(&mut self, at: usize, founder: bool) {
+        let id = ReplicaId(at as u64 + 1);
+        let peers = (1..=3).map(ReplicaId).filter(|peer| *peer != id).collect();
+        let slot = &mut self.slots[at];
+        let durable = Durable {
+            disk: slot.disk,
+            records: slot.records.clone(),
+        };
+        let raft = Raft::new(id, peers, TIMING, durable, self.now, id.0).open_to_join(founder);
+        slot.replica = Some(Replica::new(raft, TIMES).unwrap());
+        let hello = Up::Hello(Who::Agent("agent".to_owned()));
+        self.input(at, ReplicaInput::Up(AGENT, hello));
+    }
+
+    /// Loses a replica's process, and what its disk had not synced.
+    fn kill(&mut self, at: usize) {
+        self.slots[at].replica = None;
+        self.slots[at].unsynced.clear();
+        if self.leader.is_some_and(|(leader, _)| leader == at) {
+            self.leader = None;
+            self.agent_input(ServerAgentInput::Leader(None));
+        }
+    }
+
+    /// Loses a replica's disk as well.
+    fn wipe(&mut self, at: usize) {
+        self.kill(at);
+        let disk = DiskId(self.slots[at].disk.0 + 1_000);
+        self.slots[at].disk = disk;
+        self.slots[at].records = vec![Record::Disk(disk)];
+    }
+
+    fn input(&mut self, at: usize, input: ReplicaInput) {
+        let now = self.now;
+        let Some(replica) = &mut self.slots[at].replica else {
+            return;
+        };
+        let mut out = Vec::new();
+        replica.step(now, input, &mut out).unwrap();
+        replica.flush(now, &mut out).unwrap();
+        for output in out {
+            self.put(at, output);
+        }
+    }
+
+    fn put(&mut self, at: usize, output: ReplicaOutput) {
+        match output {
+            ReplicaOutput::Raft(RaftOutput::Write(number, records)) => {
+                let due = self.now.0 + SYNC;
+                self.slots[at].unsynced.push_back((due, number, records));
+            }
+            ReplicaOutput::Raft(RaftOutput::Send(message)) => {
+                let input = ReplicaInput::Up(SessionId(90), Up::Peer(message.clone()));
+                self.net.push_back((self.now.0 + 1, message.to, input));
+            }
+            ReplicaOutput::Raft(_) => {}
+            ReplicaOutput::Down(AGENT, down) => self.to_agent(at, down),
+            ReplicaOutput::Down(..) => {}
+            ReplicaOutput::Reply(token, reply) => {
+                self.replies.insert(token, reply);
+            }
+        }
+    }
+
+    fn to_agent(&mut self, at: usize, down: Down) {
+        let leads = self.leader.is_some_and(|(leader, _)| leader == at);
+        let input = match down {
+            Down::Status {
+                leads: true, term, ..
+            } if self.leader.is_none_or(|(_, known)| known < term) => {
+                self.leader = Some((at, term));
+                ServerAgentInput::Leader(Some(term))
+            }
+            Down::Beat {
+                at,
+                grant: Some(grant),
+            } if leads => ServerAgentInput::Granted(Owner::Group, at + grant),
+            Down::Order(order) if leads => ServerAgentInput::Order(Owner::Group, order),
+            Down::Recorded { life, upto } if leads => ServerAgentInput::Recorded {
+                owner: Owner::Group,
+                life,
+                upto,
+            },
+            Down::Out(index, places) => ServerAgentInput::Out(index, places),
+            _ => return,
+        };
+        self.agent_input(input);
+    }
+
+    fn agent_input(&mut self, input: ServerAgentInput) {
+        let mut out = Vec::new();
+        self.agent.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                ServerAgentOutput::Call(call) => self.calls.push_back(call),
+                ServerAgentOutput::Report(Owner::Group, report) => {
+                    if let Some((leader, _)) = self.leader {
+                        self.input(leader, ReplicaInput::Up(AGENT, Up::Report(report)));
+                    }
+                }
+                ServerAgentOutput::Report(..) => {}
+            }
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = Millis(self.now.0 + 1);
+            let now = self.now;
+            for at in 0..3 {
+                while let Some((_, number, records)) = self.slots[at]
+                    .unsynced
+                    .pop_front_if(|(due, ..)| *due <= now.0)
+                {
+                    self.slots[at].records.extend(records);
+                    let synced = fulmardrift::RaftInput::Synced(number);
+                    self.input(at, ReplicaInput::Raft(synced));
+                }
+            }
+            while let Some((_, to, input)) = self.net.pop_front_if(|(due, ..)| *due <= now.0) {
+                self.input(usize::try_from(to.0).unwrap() - 1, input);
+            }
+            while let Some(call) = self.calls.pop_front() {
+                let reply = self.server.call(now, &call);
+                self.agent_input(ServerAgentInput::Replied(call.id, reply));
+                if self.calls.len() > 64 {
+                    break;
+                }
+                if matches!(call.kind, fulmardrift::ServerCallKind::Hold { .. }) {
+                    // A look takes time; the next one is for the next millisecond.
+                    break;
+                }
+            }
+            if now.0.is_multiple_of(20) {
+                self.server.tick(now);
+                for at in 0..3 {
+                    self.input(at, ReplicaInput::Tick);
+                }
+                self.agent_input(ServerAgentInput::Tick);
+            }
+            if now.0.is_multiple_of(250) {
+                for at in 0..3 {
+                    self.input(at, ReplicaInput::Up(AGENT, Up::Beat(now)));
+                }
+            }
+        }
+    }
+
+    /// Asks every replica until one that leads has answered.
+    fn ask(&mut self, call: Call) -> CallReply {
+        for _ in 0..200 {
+            for at in 0..3 {
+                self.tokens += 1;
+                let token = self.tokens;
+                self.input(at, ReplicaInput::Call(token, call.clone()));
+                self.run(60);
+                match self.replies.get(&token) {
+                    None | Some(CallReply::NotLeader | CallReply::Unknown) => {}
+                    Some(reply) => return reply.clone(),
+                }
+            }
+        }
+        panic!("no leader answered");
+    }
+
+    fn leader(&self) -> usize {
+        let leads = |slot: &Slot| slot.replica.as_ref().is_some_and(|r| r.raft().is_leader());
+        self.slots.iter().position(leads).unwrap()
+    }
+
+    fn look(&mut self, id: JobId) -> CallReply {
+        self.ask(Call::Client {
+            host: "desk.example".to_owned(),
+            path: format!("/jobs/{id}"),
+            want: Want::Look,
+        })
+    }
+
+    fn check_once(&self) {
+        for (i, a) in self.server.spans.iter().enumerate() {
+            for b in &self.server.spans[i + 1..] {
+                let done = a.how == Some(fulmardrift::Ending::Done);
+                let over = a.to.is_some_and(|to| to <= b.from);
+                assert!(a.task != b.task || (over && !done), "{a:?} and {b:?}");
+            }
+        }
+    }
+}
+
+const COMPLETED: CallReply = CallReply::State(State::Completed);
+
+#[test]
+fn a_stored_job_is_accepted_run_and_shown() {
+    let mut group = Group::new(100);
+    assert_eq!(
+        group.ask(submit(JobId(1), job(3, 100, false))),
+        CallReply::Done
+    );
+    assert_eq!(
+        group.ask(submit(JobId(1), job(3, 100, false))),
+        CallReply::Done
+    );
+    group.run(500);
+    assert_eq!(group.look(JobId(1)), COMPLETED);
+    assert_eq!(group.look(JobId(2)), CallReply::NoJob);
+    assert_eq!(group.server.spans.len(), 3);
+}
+
+#[test]
+fn a_new_leader_finishes_what_the_former_one_accepted() {
+    for wait in [10, 60, 150, 400, 900] {
+        let mut group = Group::new(300);
+        assert_eq!(
+            group.ask(submit(JobId(1), job(4, 300, false))),
+            CallReply::Done
+        );
+        group.run(wait);
+        let leader = group.leader();
+        group.kill(leader);
+        group.run(6_000);
+        assert_eq!(group.look(JobId(1)), COMPLETED, "killed after {wait} ms");
+        group.check_once();
+    }
+}
+
+#[test]
+fn jobs_survive_the_loss_of_all_processes() {
+    let mut group = Group::new(300);
+    assert_eq!(
+        group.ask(submit(JobId(1), job(4, 300, false))),
+        CallReply::Done
+    );
+    for at in 0..3 {
+        group.kill(at);
+    }
+    group.run(500);
+    for at in 0..3 {
+        group.start(at, false);
+    }
+    group.run(6_000);
+    assert_eq!(group.look(JobId(1)), COMPLETED);
+    group.check_once();
+}
+
+#[test]
+fn a_wiped_leader_loses_nothing() {
+    let mut group = Group::new(100);
+    assert_eq!(group.ask(Call::PutSetup(Some(setup(5)))), CallReply::Done);
+    let leader = group.leader();
+    group.wipe(leader);
+    group.run(200);
+    group.start(leader, false);
+    group.run(4_000);
+    assert_eq!(
+        group.ask(Call::GetSetup),
+        CallReply::Document(setup(5).document)
+    );
+    let voters = group.slots[group.leader()]
+        .replica
+        .as_ref()
+        .unwrap()
+        .raft()
+        .voters()
+        .len();
+    assert_eq!(voters, 3, "the new disk has taken the old one's place");
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_starts_no_more() {
+    let mut group = Group::new(2_000);
+    assert_eq!(
+        group.ask(submit(JobId(1), job(8, 2_000, false))),
+        CallReply::Done
+    );
+    group.run(100);
+    let cancel = Call::Client {
+        host: "desk.example".to_owned(),
+        path: format!("/jobs/{}", JobId(1)),
+        want: Want::Cancel,
+    };
+    assert_eq!(group.ask(cancel), CallReply::Done);
+    let begun = group.server.spans.len();
+    group.run(1_000);
+    assert_eq!(group.look(JobId(1)), CallReply::State(State::Cancelled));
+    assert_eq!(group.server.runs(), 0);
+    assert_eq!(group.server.spans.len(), begun);
+}
+
+#[test]
+fn the_highest_version_wins_and_other_content_under_it_is_refused() {
+    let mut group = Group::new(100);
+    assert_eq!(group.ask(Call::PutSetup(Some(setup(7)))), CallReply::Done);
+    assert_eq!(group.ask(Call::PutSetup(Some(setup(3)))), CallReply::Done);
+    assert_eq!(group.ask(Call::PutSetup(Some(setup(7)))), CallReply::Done);
+    let other = Setup {
+        document: b"something else".to_vec(),
+        ..setup(7)
+    };
+    assert_eq!(group.ask(Call::PutSetup(Some(other))), CallReply::Conflict);
+    assert!(matches!(
+        group.ask(Call::PutSetup(None)),
+        CallReply::Invalid(_)
+    ));
+    assert_eq!(
+        group.ask(Call::GetSetup),
+        CallReply::Document(setup(7).document)
+    );
+}
+
+#[test]
+fn nothing_starts_in_a_data_centre_that_is_out() {
+    let mut group = Group::new(100);
+    assert_eq!(
+        group.ask(Call::Evacuate("dc0".to_owned(), true)),
+        CallReply::Done
+    );
+    assert_eq!(
+        group.ask(submit(JobId(1), job(2, 100, false))),
+        CallReply::Done
+    );
+    group.run(1_000);
+    assert_eq!(group.server.spans, []);
+    assert_eq!(
+        group.ask(Call::Evacuate("dc0".to_owned(), false)),
+        CallReply::Done
+    );
+    group.run(500);
+    assert_eq!(group.look(JobId(1)), COMPLETED);
+}
