--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -76,7 +76,7 @@
         let beat = group.server.beat();
         group.agent_input(ServerAgentInput::Beat(beat));
         group.run(2_500);
-        assert_eq!(group.ask(Call::PutSetup(Some(setup(1)))), CallReply::Done);
+        assert_eq!(group.ask(&Call::PutSetup(Some(setup(1)))), CallReply::Done);
         group
     }
 
@@ -132,19 +132,19 @@
                 self.slots[at].unsynced.push_back((due, number, records));
             }
             ReplicaOutput::Raft(RaftOutput::Send(message)) => {
-                let input = ReplicaInput::Up(SessionId(90), Up::Peer(message.clone()));
-                self.net.push_back((self.now.0 + 1, message.to, input));
+                let to = message.to;
+                let input = ReplicaInput::Up(SessionId(90), Up::Peer(message));
+                self.net.push_back((self.now.0 + 1, to, input));
             }
-            ReplicaOutput::Raft(_) => {}
-            ReplicaOutput::Down(AGENT, down) => self.to_agent(at, down),
-            ReplicaOutput::Down(..) => {}
+            ReplicaOutput::Down(AGENT, down) => self.tell_agent(at, down),
+            ReplicaOutput::Raft(_) | ReplicaOutput::Down(..) => {}
             ReplicaOutput::Reply(token, reply) => {
                 self.replies.insert(token, reply);
             }
         }
     }
 
-    fn to_agent(&mut self, at: usize, down: Down) {
+    fn tell_agent(&mut self, at: usize, down: Down) {
         let leads = self.leader.is_some_and(|(leader, _)| leader == at);
         let input = match down {
             Down::Status {
@@ -229,7 +229,7 @@
     }
 
     /// Asks every replica until one that leads has answered.
-    fn ask(&mut self, call: Call) -> CallReply {
+    fn ask(&mut self, call: &Call) -> CallReply {
         for _ in 0..200 {
             for at in 0..3 {
                 self.tokens += 1;
@@ -251,7 +251,7 @@
     }
 
     fn look(&mut self, id: JobId) -> CallReply {
-        self.ask(Call::Client {
+        self.ask(&Call::Client {
             host: "desk.example".to_owned(),
             path: format!("/jobs/{id}"),
             want: Want::Look,
@@ -275,11 +275,11 @@
 fn a_stored_job_is_accepted_run_and_shown() {
     let mut group = Group::new(100);
     assert_eq!(
-        group.ask(submit(JobId(1), job(3, 100, false))),
+        group.ask(&submit(JobId(1), job(3, 100, false))),
         CallReply::Done
     );
     assert_eq!(
-        group.ask(submit(JobId(1), job(3, 100, false))),
+        group.ask(&submit(JobId(1), job(3, 100, false))),
         CallReply::Done
     );
     group.run(500);
@@ -293,7 +293,7 @@
     for wait in [10, 60, 150, 400, 900] {
         let mut group = Group::new(300);
         assert_eq!(
-            group.ask(submit(JobId(1), job(4, 300, false))),
+            group.ask(&submit(JobId(1), job(4, 300, false))),
             CallReply::Done
         );
         group.run(wait);
@@ -309,7 +309,7 @@
 fn jobs_survive_the_loss_of_all_processes() {
     let mut group = Group::new(300);
     assert_eq!(
-        group.ask(submit(JobId(1), job(4, 300, false))),
+        group.ask(&submit(JobId(1), job(4, 300, false))),
         CallReply::Done
     );
     for at in 0..3 {
@@ -327,14 +327,14 @@
 #[test]
 fn a_wiped_leader_loses_nothing() {
     let mut group = Group::new(100);
-    assert_eq!(group.ask(Call::PutSetup(Some(setup(5)))), CallReply::Done);
+    assert_eq!(group.ask(&Call::PutSetup(Some(setup(5)))), CallReply::Done);
     let leader = group.leader();
     group.wipe(leader);
     group.run(200);
     group.start(leader, false);
     group.run(4_000);
     assert_eq!(
-        group.ask(Call::GetSetup),
+        group.ask(&Call::GetSetup),
         CallReply::Document(setup(5).document)
     );
     let voters = group.slots[group.leader()]
@@ -351,7 +351,7 @@
 fn a_cancelled_job_is_stopped_and_starts_no_more() {
     let mut group = Group::new(2_000);
     assert_eq!(
-        group.ask(submit(JobId(1), job(8, 2_000, false))),
+        group.ask(&submit(JobId(1), job(8, 2_000, false))),
         CallReply::Done
     );
     group.run(100);
@@ -360,7 +360,7 @@
         path: format!("/jobs/{}", JobId(1)),
         want: Want::Cancel,
     };
-    assert_eq!(group.ask(cancel), CallReply::Done);
+    assert_eq!(group.ask(&cancel), CallReply::Done);
     let begun = group.server.spans.len();
     group.run(1_000);
     assert_eq!(group.look(JobId(1)), CallReply::State(State::Cancelled));
@@ -371,20 +371,20 @@
 #[test]
 fn the_highest_version_wins_and_other_content_under_it_is_refused() {
     let mut group = Group::new(100);
-    assert_eq!(group.ask(Call::PutSetup(Some(setup(7)))), CallReply::Done);
-    assert_eq!(group.ask(Call::PutSetup(Some(setup(3)))), CallReply::Done);
-    assert_eq!(group.ask(Call::PutSetup(Some(setup(7)))), CallReply::Done);
+    assert_eq!(group.ask(&Call::PutSetup(Some(setup(7)))), CallReply::Done);
+    assert_eq!(group.ask(&Call::PutSetup(Some(setup(3)))), CallReply::Done);
+    assert_eq!(group.ask(&Call::PutSetup(Some(setup(7)))), CallReply::Done);
     let other = Setup {
         document: b"something else".to_vec(),
         ..setup(7)
     };
-    assert_eq!(group.ask(Call::PutSetup(Some(other))), CallReply::Conflict);
+    assert_eq!(group.ask(&Call::PutSetup(Some(other))), CallReply::Conflict);
     assert!(matches!(
-        group.ask(Call::PutSetup(None)),
+        group.ask(&Call::PutSetup(None)),
         CallReply::Invalid(_)
     ));
     assert_eq!(
-        group.ask(Call::GetSetup),
+        group.ask(&Call::GetSetup),
         CallReply::Document(setup(7).document)
     );
 }
@@ -393,17 +393,17 @@
 fn nothing_starts_in_a_data_centre_that_is_out() {
     let mut group = Group::new(100);
     assert_eq!(
-        group.ask(Call::Evacuate("dc0".to_owned(), true)),
+        group.ask(&Call::Evacuate("dc0".to_owned(), true)),
         CallReply::Done
     );
     assert_eq!(
-        group.ask(submit(JobId(1), job(2, 100, false))),
+        group.ask(&submit(JobId(1), job(2, 100, false))),
         CallReply::Done
     );
     group.run(1_000);
     assert_eq!(group.server.spans, []);
     assert_eq!(
-        group.ask(Call::Evacuate("dc0".to_owned(), false)),
+        group.ask(&Call::Evacuate("dc0".to_owned(), false)),
         CallReply::Done
     );
     group.run(500);
