--- a/src/dispatch/spec.rs
+++ b/src/dispatch/spec.rs
@@ -6,8 +6,8 @@
 
 use crate::core::clock::Millis;
 
-/// A stored job's name, chosen by its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// A stored or loose job's name, chosen by its caller.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct JobId(pub u64);
 
 impl JobId {
@@ -28,6 +28,13 @@
     }
 }
 
+// Logs show a job as its caller names it.
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/tests/loose_jobs.rs
+++ b/tests/loose_jobs.rs
@@ -283,3 +283,9 @@
     fleet.call(0, 1, call, 1_000);
     assert_eq!(fleet.answer(0, 1), Some(&CallReply::NoQueue));
 }
+
+#[test]
+fn a_job_is_logged_as_its_caller_names_it() {
+    let id = JobId(0xd01a_65e9_693f_0633);
+    assert_eq!(format!("{id:?}"), "d01a65e9693f0633");
+}
