Joining, waiting calls and outgoing sessions in modules of their own

Cause: raft.rs and replica.rs had grown past one job, the same sending to sessions stood in two processes, and event 619 was in the catalogue but never written.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod command;
 pub(crate) mod elect;
+pub(crate) mod join;
 pub(crate) mod log;
 pub(crate) mod machine;
 pub(crate) mod message;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -11,6 +11,7 @@
 use super::dispatcher::{DispatchOutput, Dispatcher, GROUP_GRANT};
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, Setup, State, Terms};
+use super::waiter::{Origin, Waiter, answer, settle};
 use super::wire::{Down, Up, Who};
 use super::worker::SessionId;
 use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term};
@@ -45,15 +46,6 @@
     },
 }
 
-/// Where an answer goes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Origin {
-    /// An entry's session, with its number for the call.
-    Session(SessionId, u64),
-    /// A call that this process received itself.
-    Local(u64),
-}
-
 /// What reaches a control instance.
 #[derive(Debug)]
 pub enum ReplicaInput {
@@ -89,16 +81,6 @@
     pub keep: Millis,
 }
 
-/// What awaits the commit of an entry.
-#[derive(Debug)]
-pub(crate) enum Waiter {
-    Nobody,
-    Call(Origin),
-    /// A configuration, whose fate is known once it is applied.
-    Setup(Origin, u64, Vec<u8>),
-    Accept(JobId, Vec<Origin>),
-}
-
 /// One control instance.
 #[derive(Debug)]
 pub struct Replica {
@@ -569,29 +551,6 @@
     }
 }
 
-fn settle(waiter: Waiter, reply: &Reply, out: &mut Vec<ReplicaOutput>) {
-    match waiter {
-        Waiter::Nobody => {}
-        Waiter::Call(origin) | Waiter::Setup(origin, ..) => out.push(answer(origin, reply.clone())),
-        Waiter::Accept(_, origins) => {
-            out.extend(
-                origins
-                    .into_iter()
-                    .map(|origin| answer(origin, reply.clone())),
-            );
-        }
-    }
-}
-
-fn answer(origin: Origin, reply: Reply) -> ReplicaOutput {
-    match origin {
-        Origin::Session(session, number) => {
-            ReplicaOutput::Down(session, Down::Reply(number, reply))
-        }
-        Origin::Local(token) => ReplicaOutput::Reply(token, reply),
-    }
-}
-
 fn decode_book(snapshot: &Snapshot) -> Result<Book, ReplicaError> {
     if snapshot.data.is_empty() {
         return Ok(Book::default());
--- a/src/events.rs
+++ b/src/events.rs
@@ -121,8 +121,6 @@
     SESSION_UP = 617 Info "session-up";
     /// A session with another process is gone.
     SESSION_DOWN = 618 Info "session-down";
-    /// A settings file was read again.
-    RELOADED = 619 Info "reloaded";
     /// A call could not be understood.
     BAD_CALL = 620 Info "bad-call";
     /// Log lines were dropped since the last such line.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -14,7 +14,7 @@
 
 use super::address::{replica_address, replica_id};
 use super::link::{self, Link, LinkEvent};
-use super::sessions::{self, SessionEvent};
+use super::sessions::{self, Outgoing, SessionEvent};
 use crate::control::log::{DiskId, ReplicaId};
 use crate::control::message::Message;
 use crate::control::raft::{Raft, RaftInput, RaftOutput, RaftTiming};
@@ -23,8 +23,7 @@
 use crate::dispatch::call::{Call, Reply};
 use crate::dispatch::desk::LinkId;
 use crate::dispatch::replica::{Replica, ReplicaError, ReplicaInput, ReplicaOutput, ReplicaTimes};
-use crate::dispatch::wire::{Down, Up, Who};
-use crate::dispatch::worker::SessionId;
+use crate::dispatch::wire::{Up, Who};
 use crate::events;
 use crate::shell::clock::Clock;
 use crate::store::folder::Folder;
@@ -151,7 +150,7 @@
             own,
             links: Table::default(),
             link_tx: ignore_links(),
-            sessions: Table::default(),
+            sessions: Outgoing::default(),
             callers: Table::default(),
             last: 0,
             leader: Arc::clone(&leader),
@@ -203,7 +202,7 @@
     // Links to the other instances.
     links: Table<ReplicaId, Link>,
     link_tx: mpsc::Sender<LinkEvent>,
-    sessions: Table<SessionId, mpsc::Sender<Down>>,
+    sessions: Outgoing,
     callers: Table<u64, oneshot::Sender<Reply>>,
     last: u64,
     leader: Arc<Mutex<Option<SocketAddrV4>>>,
@@ -278,12 +277,12 @@
     ) -> Result<(), ReplicaError> {
         let input = match event {
             Event::Session(SessionEvent::Opened(id, tx)) => {
-                self.sessions.insert(id, tx);
+                self.sessions.opened(id, tx);
                 return Ok(());
             }
             Event::Session(SessionEvent::Message(id, up)) => ReplicaInput::Up(id, up),
             Event::Session(SessionEvent::Closed(id)) => {
-                self.sessions.remove(&id);
+                self.sessions.closed(id);
                 ReplicaInput::Closed(id)
             }
             Event::Synced(input) => ReplicaInput::Raft(input),
@@ -311,16 +310,7 @@
             ReplicaOutput::Raft(RaftOutput::Send(message)) => self.send_peer(message),
             // Taken by the replica itself.
             ReplicaOutput::Raft(RaftOutput::Commit(_) | RaftOutput::Restore(_)) => {}
-            ReplicaOutput::Down(id, down) => {
-                let full = self
-                    .sessions
-                    .get(&id)
-                    .is_some_and(|tx| tx.try_send(down).is_err());
-                if full {
-                    // Its peer does not keep up; closing makes it start anew.
-                    self.sessions.remove(&id);
-                }
-            }
+            ReplicaOutput::Down(id, down) => self.sessions.send(id, down),
             ReplicaOutput::Reply(token, reply) => {
                 if let Some(tx) = self.callers.remove(&token)
                     && tx.send(reply).is_err()
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -13,13 +13,12 @@
 use super::address::replica_id;
 use super::link::LinkEvent;
 use super::links::{Links, News};
-use super::sessions::{self, SessionEvent};
+use super::sessions::{self, Outgoing, SessionEvent};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 use crate::dispatch::call::{Call, Reply};
 use crate::dispatch::desk::{Desk, DeskInput, DeskOutput};
 use crate::dispatch::wire::{Down, Up, Who};
-use crate::dispatch::worker::SessionId;
 use crate::events;
 use crate::shell::clock::{Clock, wall};
 
@@ -83,7 +82,7 @@
                 link_tx,
             ),
             desk: Desk::new(life, cfg.hold, clock.now()),
-            sessions: Table::default(),
+            sessions: Outgoing::default(),
             clock,
             callers: Table::default(),
             open: Arc::clone(&open),
@@ -165,7 +164,7 @@
 struct Actor {
     links: Links,
     desk: Desk,
-    sessions: Table<SessionId, mpsc::Sender<Down>>,
+    sessions: Outgoing,
     clock: Clock,
     callers: Table<u64, oneshot::Sender<Reply>>,
     open: Arc<AtomicUsize>,
@@ -222,12 +221,12 @@
                 })
             }
             Event::Session(SessionEvent::Opened(id, tx)) => {
-                self.sessions.insert(id, tx);
+                self.sessions.opened(id, tx);
                 None
             }
             Event::Session(SessionEvent::Message(id, up)) => Some(DeskInput::Up(id, up)),
             Event::Session(SessionEvent::Closed(id)) => {
-                self.sessions.remove(&id);
+                self.sessions.closed(id);
                 Some(DeskInput::Closed(id))
             }
             Event::Seeds(seeds) => {
@@ -255,16 +254,7 @@
     fn put(&mut self, output: DeskOutput) {
         match output {
             DeskOutput::Send(link, token, call) => self.links.send(link, Up::Call(token, call)),
-            DeskOutput::Down(id, down) => {
-                let full = self
-                    .sessions
-                    .get(&id)
-                    .is_some_and(|tx| tx.try_send(down).is_err());
-                if full {
-                    // Its agent does not keep up; closing makes it start anew.
-                    self.sessions.remove(&id);
-                }
-            }
+            DeskOutput::Down(id, down) => self.sessions.send(id, down),
             DeskOutput::Answer(token, reply) => {
                 if let Some(tx) = self.callers.remove(&token)
                     && tx.send(reply).is_err()
--- a/src/node/sessions.rs
+++ b/src/node/sessions.rs
@@ -11,6 +11,7 @@
 
 use super::frames::{DroppedSnafu, FrameError, IoSnafu, QuietSnafu, Reader, Writer};
 use crate::core::clock::Millis;
+use crate::core::table::Table;
 use crate::dispatch::wire::{Down, Up};
 use crate::dispatch::worker::SessionId;
 use crate::events;
@@ -33,6 +34,31 @@
     Closed(SessionId),
 }
 
+/// The ways to the open sessions.
+#[derive(Debug, Default)]
+pub(crate) struct Outgoing {
+    queues: Table<SessionId, mpsc::Sender<Down>>,
+}
+
+impl Outgoing {
+    pub(crate) fn opened(&mut self, id: SessionId, queue: mpsc::Sender<Down>) {
+        self.queues.insert(id, queue);
+    }
+
+    pub(crate) fn closed(&mut self, id: SessionId) {
+        self.queues.remove(&id);
+    }
+
+    /// Sends a message; a peer that does not keep up loses its session and starts
+    /// anew.
+    pub(crate) fn send(&mut self, id: SessionId, down: Down) {
+        let queue = self.queues.get(&id);
+        if queue.is_some_and(|queue| queue.try_send(down).is_err()) {
+            self.queues.remove(&id);
+        }
+    }
+}
+
 /// Accepts sessions for as long as somebody takes their events.
 pub(crate) async fn serve<T>(
     listener: TcpListener,
