Stored jobs: ends behind a cut, repeated failures, the count of waiting jobs

- A worker's lease was renewed under any dispatcher's grant.
Cut off from the group but not from the entries, it kept the ends of stored jobs valid while the leader had started their tasks elsewhere.
Now only the group's grant extends the lease while runs or unrecorded ends of stored jobs are here; when it lapses, these ends are void.
- The leader did not record an end whose worker it had given up, and confirmed it all the same, then started the task again.
It records such ends now.
- A new leader counted every job that it took over as begun.
- A failed run counted twice when two leaders recorded it; the book keeps the failed runs by number.

Ruled out: that the leader refuses to confirm late ends. They would then block the confirmation of all later ones.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -144,6 +144,8 @@
 
     /// Takes one input at `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Millis, input: AgentInput, out: &mut Vec<AgentOutput>) {
+        // A process that was suspended wakes with a lease that has run out.
+        self.give_up_lapsed(now, out);
         match input {
             AgentInput::Beat(beat) => self.on_beat(now, beat, out),
             AgentInput::Left(id) => {
@@ -464,7 +466,7 @@
     /// no dispatcher's grant lasts or that clock is not known.
     pub(crate) fn lease_end(&self, now: Millis) -> Option<Millis> {
         let (clock, at) = self.clock?;
-        let granted = self.bosses.iter().map(|(_, boss)| boss.granted).max()?;
+        let granted = self.granted()?;
         let length = self.times.hold.min(granted.since(now));
         if length == Millis(0) {
             return None;
@@ -472,6 +474,18 @@
         Some(clock + now.since(at) + length)
     }
 
+    /// Until when some dispatcher lets the agent act. While runs or unrecorded ends
+    /// of stored jobs are here, only the group does: when its grant lapses, its
+    /// leader starts their tasks elsewhere and counts on the lease to have ended.
+    fn granted(&self) -> Option<Millis> {
+        let stored = self.runs.iter().any(|(_, h)| h.owner == Owner::Group)
+            || self.ends.iter().any(HeldEnd::binds_lease);
+        if stored {
+            return self.bosses.get(&Owner::Group).map(|boss| boss.granted);
+        }
+        self.bosses.iter().map(|(_, boss)| boss.granted).max()
+    }
+
     pub(crate) fn note_lease(&mut self, now: Millis) {
         let hold = self.times.hold.0;
         let longest = Millis(hold + hold * DRIFT_PERCENT / 100) + LAPSE_MARGIN;
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -27,7 +27,6 @@
         if self.server.is_none() {
             return;
         }
-        self.give_up_lapsed(now, out);
         if self.holding == 0 && now >= self.next_hold {
             let wait = if self.ends.is_empty() {
                 HOLD_WAIT
@@ -76,15 +75,23 @@
         });
     }
 
-    /// When the backend server's lease has run out without an answer, nothing can
-    /// run there any more; ends are listed when it answers again.
+    /// When the backend server's lease has run out, nothing can run there any more,
+    /// and the ends of stored jobs that are not on record count no longer: their
+    /// tasks may have been started elsewhere.
     pub(crate) fn give_up_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
-        if self.runs.is_empty() || now <= self.leased {
+        if now <= self.leased {
             return;
         }
         let runs = self.runs.len();
-        events::LEASE_LAPSED.log(format_args!("life={} runs={runs}", self.life()));
+        let void = self.ends.iter().filter(|end| end.binds_lease()).count();
+        if runs + void == 0 {
+            return;
+        }
+        events::LEASE_LAPSED.log(format_args!("life={} runs={runs} ends={void}", self.life()));
         self.runs = Table::default();
+        for end in &mut self.ends {
+            end.recorded |= end.owner == Owner::Group;
+        }
         self.looked = None;
         for (owner, boss) in self.bosses.iter_mut() {
             if boss.told {
--- a/src/dispatch/book.rs
+++ b/src/dispatch/book.rs
@@ -40,11 +40,27 @@
 }
 
 /// A task's durable part.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct TaskBook {
     pub(crate) done: bool,
-    /// Runs that failed.
-    pub(crate) fails: u32,
+    /// Runs that failed. A new leader may record an end that the former one had
+    /// recorded already.
+    failed: Vec<Run>,
+}
+
+impl TaskBook {
+    /// Number of runs that failed.
+    pub(crate) fn fails(&self) -> u32 {
+        u32::try_from(self.failed.len()).unwrap_or(u32::MAX)
+    }
+
+    fn take(&mut self, run: Run, how: Ending) {
+        match how {
+            Ending::Done => self.done = true,
+            Ending::Failed if !self.failed.contains(&run) => self.failed.push(run),
+            Ending::Failed | Ending::Lost => {}
+        }
+    }
 }
 
 /// A job that has not ended.
@@ -76,10 +92,16 @@
         self.tasks.get_mut(step)?.get_mut(index)
     }
 
-    pub(crate) fn task(&self, task: TaskId) -> Option<TaskBook> {
+    pub(crate) fn task(&self, task: TaskId) -> Option<&TaskBook> {
         let step = usize::try_from(task.step).ok()?;
         let index = usize::try_from(task.index).ok()?;
-        self.tasks.get(step)?.get(index).copied()
+        self.tasks.get(step)?.get(index)
+    }
+
+    /// True when an end of one of its tasks is on record.
+    pub(crate) fn has_begun(&self) -> bool {
+        let mut tasks = self.tasks.iter().flatten();
+        tasks.any(|task| task.done || task.fails() > 0)
     }
 }
 
@@ -174,12 +196,8 @@
         let Some(task) = job.task_mut(end.task) else {
             return;
         };
-        match end.how {
-            Ending::Done => task.done = true,
-            Ending::Failed => task.fails += 1,
-            Ending::Lost => {}
-        }
-        let failed = task.fails >= attempts && !task.done;
+        task.take(end.run, end.how);
+        let failed = task.fails() >= attempts && !task.done;
         let done = job.tasks.iter().flatten().all(|t| t.done);
         if done {
             self.end(id, State::Completed, changes);
--- a/src/dispatch/held.rs
+++ b/src/dispatch/held.rs
@@ -2,7 +2,7 @@
 
 use super::book::End;
 use super::boss::Owner;
-use super::spec::{Resources, Run};
+use super::spec::{Ending, Resources, Run};
 use crate::core::clock::Millis;
 
 /// Where a run stands at its agent.
@@ -80,3 +80,11 @@
     pub(crate) at: Millis,
     pub(crate) recorded: bool,
 }
+
+impl HeldEnd {
+    /// True while the backend server's lease must not outlast the group's grant:
+    /// the end of a stored job's task counts unless the lease lapses first.
+    pub(crate) fn binds_lease(&self) -> bool {
+        self.owner == Owner::Group && !self.recorded && self.end.how != Ending::Lost
+    }
+}
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -79,7 +79,7 @@
                 run: Run(0),
                 avoid: None,
                 moves: 0,
-                fails: task.fails,
+                fails: task.fails(),
             });
             tasks.push(live.collect());
         }
@@ -92,7 +92,7 @@
             loose,
             tasks,
             since: now,
-            started: phase == Phase::Unknown,
+            started: job.has_begun(),
             chain,
         }
     }
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -186,14 +186,16 @@
         let job = self.jobs.get(&task.job);
         let need = job.map_or(Resources::default(), |j| j.need(task));
         let estimate = job.map_or(Millis(0), |j| j.estimate(task));
-        let live = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
         let mut wanted = false;
-        if let Some(live) = live
-            && live.phase == Phase::Unknown
-        {
-            live.phase = Phase::On(id);
-            live.run = run;
-            wanted = true;
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.started = true;
+            if let Some(live) = job.task_mut(task)
+                && live.phase == Phase::Unknown
+            {
+                live.phase = Phase::On(id);
+                live.run = run;
+                wanted = true;
+            }
         }
         let placed = Placed {
             need,
@@ -348,7 +350,11 @@
             return false;
         };
         let current = live.phase == Phase::On(id) && live.run == end.run;
-        if !current && live.phase != Phase::Unknown {
+        let over = matches!(live.phase, Phase::Ending | Phase::Done);
+        // An end that a stored job's task comes to counts even when its worker was
+        // given up meanwhile.
+        let counts = !loose && end.how != Ending::Lost;
+        if !current && live.phase != Phase::Unknown && !counts {
             return false;
         }
         if end.how != Ending::Done {
@@ -364,6 +370,9 @@
                 live.fails += 1;
                 live.phase = Phase::Ready;
             }
+            // Another run of it ended already, or goes on elsewhere.
+            Ending::Done | Ending::Failed if over => {}
+            Ending::Failed if !current && matches!(live.phase, Phase::On(_)) => {}
             Ending::Done | Ending::Failed => live.phase = Phase::Ending,
             Ending::Lost if current => live.phase = Phase::Ready,
             Ending::Lost => {}
