Control: a group that starts anew elects at once

Instances waited out an election's silence for a lease that nobody could hold, and their first messages were lost, since links to peers were opened only with them.

Change: a voter that has heard no leader since its start says so when asked for a pre-vote; when all voters say so, the candidate stands at once and they vote. Fresh voters ask every one to two heartbeats. Links to peers are opened at the start, and a lost session is retried after 160 ms at most.

Ruled out: a majority of fresh voters instead of all. A leader that is cut off may hold a lease from before their restart; the test shows two holders then.

--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -1,23 +1,32 @@
 //! Elections.
 
 use super::log::{Index, Payload, Position, ReplicaId, Term, Voter};
-use super::message::Body;
+use super::message::{Body, Leave};
 use super::raft::{Progress, Raft, RaftGuard, RaftOutput, RaftRole};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 
+/// A voter's answer to [`Body::PreVote`].
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PreVote {
+    pub(crate) term: Term,
+    pub(crate) granted: bool,
+    pub(crate) unled: bool,
+}
+
 impl Raft {
     /// Asks the voters whether an election could be won, without disturbing them.
     pub(crate) fn pre_stand(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
         self.role = RaftRole::PreCandidate;
         self.leader = None;
-        self.rest(now);
+        self.rest_before_asking(now);
         self.votes = vec![Voter {
             id: self.id,
             disk: self.disk,
         }];
+        self.unled = self.votes.clone();
         if self.is_quorum(&self.votes) {
-            self.stand(now, false, out);
+            self.stand(now, Leave::None, out);
             return;
         }
         let term = Term(self.term.0 + 1);
@@ -35,7 +44,9 @@
         last: Position,
         out: &mut Vec<RaftOutput>,
     ) {
-        let granted = term > self.term && last >= self.log.last() && !self.is_led(now);
+        let able = term > self.term && last >= self.log.last();
+        let granted = able && !self.is_led(now);
+        let unled = able && self.fresh;
         let current = self.term;
         self.send(
             from,
@@ -43,6 +54,7 @@
                 term,
                 granted,
                 current,
+                unled,
             },
             out,
         );
@@ -57,8 +69,7 @@
         &mut self,
         now: Millis,
         from: Voter,
-        term: Term,
-        granted: bool,
+        said: PreVote,
         current: Term,
         out: &mut Vec<RaftOutput>,
     ) {
@@ -66,20 +77,25 @@
             self.adopt_term(now, current, out);
             return;
         }
-        let ours = self.role == RaftRole::PreCandidate && term == Term(self.term.0 + 1);
-        if !ours || !granted {
+        let ours = self.role == RaftRole::PreCandidate && said.term == Term(self.term.0 + 1);
+        if !ours {
             return;
         }
-        if !self.votes.contains(&from) {
+        if said.granted && !self.votes.contains(&from) {
             self.votes.push(from);
         }
+        if said.unled && !self.unled.contains(&from) {
+            self.unled.push(from);
+        }
         if self.is_quorum(&self.votes) {
-            self.stand(now, false, out);
+            self.stand(now, Leave::None, out);
+        } else if self.fresh && self.is_all(&self.unled) {
+            self.stand(now, Leave::Unled, out);
         }
     }
 
     /// Stands for election in a new term.
-    pub(crate) fn stand(&mut self, now: Millis, handover: bool, out: &mut Vec<RaftOutput>) {
+    pub(crate) fn stand(&mut self, now: Millis, leave: Leave, out: &mut Vec<RaftOutput>) {
         if !self.is_voter() {
             return;
         }
@@ -92,16 +108,7 @@
         self.vote_write = self.write_vote(out);
         let (term, last) = (self.term, self.log.last());
         for to in self.peers.clone() {
-            self.send_after(
-                self.vote_write,
-                to,
-                Body::Vote {
-                    term,
-                    last,
-                    handover,
-                },
-                out,
-            );
+            self.send_after(self.vote_write, to, Body::Vote { term, last, leave }, out);
         }
     }
 
@@ -111,10 +118,15 @@
         from: ReplicaId,
         term: Term,
         last: Position,
-        handover: bool,
+        leave: Leave,
         out: &mut Vec<RaftOutput>,
     ) {
-        if term > self.term && self.is_led(now) && !handover {
+        let free = match leave {
+            Leave::None => false,
+            Leave::Handover => true,
+            Leave::Unled => self.fresh,
+        };
+        if term > self.term && self.is_led(now) && !free {
             // Someone cut off comes back; the leader's lease counts on this.
             self.send(
                 from,
@@ -185,6 +197,7 @@
     fn reign(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
         self.role = RaftRole::Leader;
         self.leader = Some(self.id);
+        self.fresh = false;
         self.beat = now;
         self.heard = now;
         self.progress = Table::default();
@@ -238,6 +251,7 @@
         }
         self.role = RaftRole::Follower;
         self.leader = Some(from);
+        self.fresh = false;
         self.heard = now;
         self.rest(now);
         true
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -19,6 +19,19 @@
     pub body: Body,
 }
 
+/// What allows a vote before the time has passed in which a leader may rely on the
+/// voter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Leave {
+    /// Nothing.
+    None,
+    /// The leader asked the candidate to take over.
+    Handover,
+    /// Every voter has started anew and has heard no leader since: a lease would be
+    /// held by one of them.
+    Unled,
+}
+
 /// What a message says.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Body {
@@ -37,6 +50,9 @@
         granted: bool,
         /// The sender's own term.
         current: Term,
+        /// True when the sender has heard no leader since it started, and holds
+        /// nothing against the vote but its own caution.
+        unled: bool,
     },
     /// Vote for me.
     Vote {
@@ -44,8 +60,8 @@
         term: Term,
         /// The sender's last entry.
         last: Position,
-        /// True when the leader asked the sender to take over.
-        handover: bool,
+        /// Why loyalty to a leader need not be waited out.
+        leave: Leave,
     },
     /// Answer to [`Body::Vote`].
     Voted {
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -8,10 +8,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use super::elect::PreVote;
 use super::log::{
     DiskId, Index, Log, LogEntry, Payload, Position, Record, ReplicaId, Snapshot, Term, Voter,
 };
-use super::message::{Body, Message};
+use super::message::{Body, Leave, Message};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 
@@ -78,6 +79,8 @@
     DiskIdentity,
     /// A follower that hears a leader helps no one else.
     Loyalty,
+    /// Only when all voters have started anew need none of them wait.
+    AllUnled,
 }
 
 /// What a leader knows of a peer.
@@ -124,6 +127,10 @@
     pub(crate) heard: Millis,
     pub(crate) due: Millis,
     pub(crate) votes: Vec<Voter>,
+    // Heard no leader since the start, and led no one.
+    pub(crate) fresh: bool,
+    // Voters that say the same of themselves.
+    pub(crate) unled: Vec<Voter>,
     pub(crate) progress: Table<ReplicaId, Progress>,
     pub(crate) beat: Millis,
     // First entry of the own term, while leading.
@@ -198,6 +205,8 @@
             heard: now,
             due: now,
             votes: Vec::new(),
+            fresh: true,
+            unled: Vec::new(),
             progress: Table::default(),
             beat: now,
             reign: Index(0),
@@ -218,7 +227,7 @@
         }
         raft.synced = raft.log.last().index;
         raft.commit = raft.log.snapshot.position.index;
-        raft.rest(now);
+        raft.rest_before_asking(now);
         raft
     }
 
@@ -257,15 +266,18 @@
                 term,
                 granted,
                 current,
+                unled,
             } => {
-                self.on_pre_voted(now, Voter { id: from, disk }, term, granted, current, out);
+                let voter = Voter { id: from, disk };
+                let said = PreVote {
+                    term,
+                    granted,
+                    unled,
+                };
+                self.on_pre_voted(now, voter, said, current, out);
             }
-            Body::Vote {
-                term,
-                last,
-                handover,
-            } => {
-                self.on_vote(now, from, term, last, handover, out);
+            Body::Vote { term, last, leave } => {
+                self.on_vote(now, from, term, last, leave, out);
             }
             Body::Voted { term, granted } => {
                 self.on_voted(now, Voter { id: from, disk }, term, granted, out);
@@ -305,7 +317,7 @@
             }
             Body::Handover { term } => {
                 if term == self.term && self.leader == Some(from) {
-                    self.stand(now, true, out);
+                    self.stand(now, Leave::Handover, out);
                 }
             }
             Body::Hello { empty, echo } => {
@@ -472,8 +484,8 @@
         disk == Some(voter.disk) || (disk.is_some() && !self.on(RaftGuard::DiskIdentity))
     }
 
-    /// True when `voters` hold a majority of the latest configuration.
-    pub(crate) fn is_quorum(&self, given: &[Voter]) -> bool {
+    /// Voters of the latest configuration, and how many of them are in `given`.
+    fn count(&self, given: &[Voter]) -> (usize, usize) {
         let (voters, _) = self.log.voters();
         let agrees = |v: &&Voter| {
             let of_same = given.iter().filter(|g| g.id == v.id);
@@ -481,8 +493,19 @@
                 .into_iter()
                 .any(|g| self.is_named(**v, Some(g.disk)))
         };
-        let count = voters.iter().filter(agrees).count();
-        count * 2 > voters.len() || (count > 0 && !self.on(RaftGuard::Quorum))
+        (voters.len(), voters.iter().filter(agrees).count())
+    }
+
+    /// True when `given` holds a majority of the latest configuration.
+    pub(crate) fn is_quorum(&self, given: &[Voter]) -> bool {
+        let (voters, count) = self.count(given);
+        count * 2 > voters || (count > 0 && !self.on(RaftGuard::Quorum))
+    }
+
+    /// True when `given` holds all voters of the latest configuration.
+    pub(crate) fn is_all(&self, given: &[Voter]) -> bool {
+        let (voters, count) = self.count(given);
+        count == voters || (!self.on(RaftGuard::AllUnled) && self.is_quorum(given))
     }
 
     /// Waits a random while for a leader before standing.
@@ -492,6 +515,19 @@
         self.due = now + Millis(election + extra);
     }
 
+    /// Waits a little before asking the voters whether they would vote. While this
+    /// replica is fresh it asks often: it costs nothing, and all may have started
+    /// anew.
+    pub(crate) fn rest_before_asking(&mut self, now: Millis) {
+        if !self.fresh {
+            self.rest(now);
+            return;
+        }
+        let beat = self.timing.heartbeat.0;
+        let extra = self.rng.random_range(0..=beat);
+        self.due = now + Millis(beat + extra);
+    }
+
     /// True while this replica leads.
     #[must_use]
     pub fn is_leader(&self) -> bool {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -211,6 +211,13 @@
 
 impl Actor {
     async fn run(mut self, mut rx: mpsc::Receiver<Event>) {
+        // What is sent on a link that is not up yet is lost: the first election
+        // must not wait for that.
+        for peer in self.replica.raft().members() {
+            if peer != self.own {
+                self.link(peer);
+            }
+        }
         let mut ticker = interval(TICK);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -321,15 +328,17 @@
         }
     }
 
-    fn send_peer(&mut self, message: Message) {
+    fn link(&mut self, to: ReplicaId) -> &Link {
         let (own, clock) = (self.own, self.clock);
         let tell = &self.link_tx;
-        let to = message.to;
-        let link = self.links.or_insert_with(to, || {
+        self.links.or_insert_with(to, || {
             let who = Who::Replica(own.0);
             link::open(LinkId(to.0), replica_address(to), who, clock, tell.clone())
-        });
-        link.send(Up::Peer(message));
+        })
+    }
+
+    fn send_peer(&mut self, message: Message) {
+        self.link(message.to).send(Up::Peer(message));
     }
 }
 
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -27,8 +27,9 @@
 const WATCH: Duration = Duration::from_millis(150);
 /// Time a connection may take to open: a lost packet is not waited for.
 const CONNECT: Duration = Duration::from_millis(400);
-/// Shortest and longest pause between connections.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(400));
+/// Shortest and longest pause between connections: a process that comes back is
+/// found well within an election.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(160));
 
 /// What happens on a link.
 #[derive(Debug)]
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,8 +4,8 @@
 mod group;
 
 use fulmardrift::{
-    Accepted, ChangeRequest, Command, ControlAnswer, Joining, Outcome, ProcessRole, Rejected,
-    Reply, Revision,
+    Accepted, ChangeRequest, Command, ControlAnswer, Joining, Outcome, ProcessRole, RaftGuard,
+    Rejected, Reply, Revision,
 };
 use group::{Group, set};
 
@@ -447,3 +447,67 @@
         );
     }
 }
+
+/// Instances that give leases at the moment.
+fn lease_holders(group: &Group) -> usize {
+    let holds = |id: &&u64| {
+        let instance = &group.instances[*id];
+        let control = instance.control.as_ref();
+        control.is_some_and(|c| c.raft().holds_lease(group.now))
+    };
+    group.instances.keys().filter(holds).count()
+}
+
+/// Most holders of leases at a time while all but the leader, which is cut off,
+/// start anew.
+fn most_after_restart_of_others(size: u64, off: &[RaftGuard]) -> usize {
+    let mut group = Group::without(size, off);
+    group.until("a leader", |g| g.leader().is_some());
+    group.rounds(10);
+    let leader = group.leader().unwrap();
+    group.cut = vec![leader];
+    for id in others(&group, leader) {
+        group.kill(id);
+        group.start(id);
+    }
+    let mut most = 0;
+    for _ in 0..100 {
+        group.round();
+        most = most.max(lease_holders(&group));
+    }
+    assert!(group.leader().is_some(), "nobody took over");
+    most
+}
+
+#[test]
+fn when_all_start_anew_nobody_waits_for_a_lease_that_is_gone() {
+    for size in [3, 5] {
+        let mut group = Group::ready(size);
+        assert!(group.change(&tasks(5)).is_ok());
+        for id in 1..=size {
+            group.kill(id);
+        }
+        for id in 1..=size {
+            group.start(id);
+        }
+        let began = group.now;
+        group.until("a leader", |g| g.leader().is_some());
+        let waited = group.now.since(began);
+        assert!(waited < group::timing().election, "{waited:?} of {size}");
+        group.rounds(20);
+        assert_eq!(in_force(&group, 1), 5);
+    }
+}
+
+#[test]
+fn a_restarted_majority_waits_for_the_lease_of_a_leader_that_is_cut_off() {
+    for size in [3, 5] {
+        assert_eq!(most_after_restart_of_others(size, &[]), 1, "of {size}");
+        let mutant = [RaftGuard::AllUnled];
+        assert_eq!(
+            most_after_restart_of_others(size, &mutant),
+            2,
+            "the rule does not matter among {size}"
+        );
+    }
+}
