Entry: a job whose starts were all denied is refused as not run

An entry took every ordered run as one that may have run, also when its agent had denied it.

Change: a job may have run when a run of it is out, started, ended, or was lost with its worker. An untouched job is given up after 45 percent of its time.

Test: loose_jobs::a_job_whose_starts_were_all_denied_is_refused_as_not_run, failed before; a_job_lost_with_its_worker_is_never_refused_as_not_run holds the other side.

--- a/src/dispatch/desk.rs
+++ b/src/dispatch/desk.rs
@@ -27,6 +27,9 @@
 /// How long a call waits for the first configuration: a leader is found within it,
 /// unless the control group is down.
 const PARKED_FOR: Millis = Millis(900);
+/// Percent of a call's time after which a job that has not been started is given
+/// up: its caller can still turn elsewhere, and has not waited for half of it.
+const GIVE_UP_PERCENT: u64 = 45;
 /// Stored jobs' ends are not kept here; nothing to forget.
 const NO_KEEP: Millis = Millis(0);
 
@@ -407,7 +410,7 @@
                 continue;
             };
             let risked = match &open.way {
-                Way::Local(id) => self.dispatcher.has_ordered(*id),
+                Way::Local(id) => self.dispatcher.may_have_run(*id),
                 Way::Parked(_) => false,
                 Way::Forward { risked, .. } => *risked,
             };
@@ -432,12 +435,13 @@
     fn refuse_hopeless(&mut self, now: Millis, out: &mut Vec<DeskOutput>) {
         let mut hopeless = Vec::new();
         for (token, open) in self.open.iter() {
-            let half = Millis(open.deadline.since(open.since).0 / 2);
+            let allowed = open.deadline.since(open.since).0;
+            let patience = Millis(allowed * GIVE_UP_PERCENT / 100);
             let waited = now.since(open.since);
             let useless = match &open.way {
                 Way::Local(id) => {
-                    let late = self.dispatcher.is_overdue(now, *id) || waited >= half;
-                    late && !self.dispatcher.has_ordered(*id)
+                    let late = self.dispatcher.is_overdue(now, *id) || waited >= patience;
+                    late && !self.dispatcher.may_have_run(*id)
                         || self.dispatcher.is_in_the_way(now, *id)
                 }
                 Way::Parked(_) => waited >= PARKED_FOR,
@@ -455,7 +459,7 @@
                 ));
                 let reply = match open.way {
                     Way::Parked(_) => Reply::NoSetup,
-                    Way::Local(id) if self.dispatcher.has_ordered(id) => Reply::Unknown,
+                    Way::Local(id) if self.dispatcher.may_have_run(id) => Reply::Unknown,
                     _ => Reply::Refused(RETRY_AFTER),
                 };
                 self.leave(now, token, &open);
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -319,10 +319,9 @@
         }
     }
 
-    /// True once a run of the job has been ordered.
-    pub(crate) fn has_ordered(&self, id: JobId) -> bool {
-        let ordered = |job: &LiveJob| job.tasks.iter().flatten().any(|t| t.run.0 > 0);
-        self.jobs.get(&id).is_some_and(ordered)
+    /// False only when no task of the job can have started.
+    pub(crate) fn may_have_run(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(LiveJob::may_have_run)
     }
 
     /// True when a job that starts now cannot end in time to be of use.
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -64,6 +64,8 @@
     pub(crate) since: Millis,
     /// Some task has started.
     pub(crate) started: bool,
+    /// A run was lost with its worker: whether it had started is not known.
+    pub(crate) doubted: bool,
     /// When it should have ended, and the time allowed for that.
     objective: Millis,
     chain: Millis,
@@ -93,6 +95,7 @@
             tasks,
             since: now,
             started: job.has_begun(),
+            doubted: false,
             chain,
         }
     }
@@ -169,6 +172,13 @@
         self.plan.step(task).map_or(Millis(0), |s| s.estimate)
     }
 
+    /// False only when every run that was ordered is known never to have started.
+    pub(crate) fn may_have_run(&self) -> bool {
+        let mut tasks = self.tasks.iter().flatten();
+        let ordered = tasks.any(|t| matches!(t.phase, Phase::On(_)));
+        self.started || self.doubted || ordered
+    }
+
     pub(crate) fn has_ready(&self) -> bool {
         self.tasks.iter().flatten().any(|t| t.phase == Phase::Ready)
     }
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -146,7 +146,7 @@
         ));
         let agent = worker.agent.clone();
         for key in gone {
-            self.release(now, id, key);
+            self.lose(now, id, key);
         }
         for key in runs {
             self.adopt(now, id, *key, out);
@@ -216,6 +216,14 @@
         }
     }
 
+    /// A run is gone with its worker, or with what the agent knew of it.
+    fn lose(&mut self, now: Millis, id: WorkerId, key: (TaskId, Run)) {
+        if let Some(job) = self.jobs.get_mut(&key.0.job) {
+            job.doubted = true;
+        }
+        self.release(now, id, key);
+    }
+
     /// A run is over or never was: its room is free, and its task can be started
     /// again unless its end is being recorded.
     pub(crate) fn release(&mut self, now: Millis, id: WorkerId, (task, run): (TaskId, Run)) {
@@ -244,7 +252,7 @@
             events::WORKER_EMPTY.log(format_args!("agent={agent} runs={}", keys.len()));
         }
         for key in keys {
-            self.release(now, id, key);
+            self.lose(now, id, key);
         }
     }
 
--- a/tests/loose_jobs.rs
+++ b/tests/loose_jobs.rs
@@ -249,6 +249,37 @@
     assert!(refused > 0);
 }
 
+#[test]
+fn a_job_whose_starts_were_all_denied_is_refused_as_not_run() {
+    // Two entries compete for the room of one worker; the second sees none taken.
+    let mut fleet = Fleet::new(2, 1, 1_500);
+    for token in 0..4 {
+        fleet.call(0, token, submit(JobId(token), job(1, 1_500, true)), 4_000);
+    }
+    for token in 10..14 {
+        fleet.call(1, token, submit(JobId(token), job(1, 200, true)), 1_500);
+    }
+    fleet.run(1_600);
+    for token in 10..14 {
+        let answer = fleet.answer(1, token);
+        assert!(
+            matches!(answer, Some(CallReply::Refused(_))),
+            "job {token} never ran: {answer:?}"
+        );
+        assert!(fleet.spans().iter().all(|s| s.task.job != JobId(token)));
+    }
+}
+
+#[test]
+fn a_job_lost_with_its_worker_is_never_refused_as_not_run() {
+    let mut fleet = Fleet::new(1, 1, 3_000);
+    fleet.call(0, 1, submit(JobId(1), job(1, 100, true)), 6_000);
+    fleet.run(100);
+    fleet.cut.push((0, 0));
+    fleet.run(6_000);
+    assert_eq!(fleet.answer(0, 1), Some(&CallReply::Unknown));
+}
+
 #[test]
 fn under_shortage_a_job_past_use_is_given_up_at_once() {
     // Four cores; the first job needs them three times over, far too long.
