--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -379,12 +379,18 @@
             } => {
                 if let Some(reason) = self.denial(now, owner, life, need) {
                     events::START_DENIED.log(format_args!(
-                        "task={task} run={} owner={owner:?} by=agent reason={reason:?} life={life}",
-                        run.0
+                        "task={task} run={} owner={owner:?} by=agent reason={reason:?} life={life} \
+                         used_cpu={} need_cpu={}",
+                        run.0,
+                        self.used(None).cpu,
+                        need.cpu
                     ));
                     let report = Report::NotStarted { task, run, reason };
                     out.push(AgentOutput::Report(owner, report));
-                    self.others_due = true;
+                    if reason == Denial::Room {
+                        // The dispatcher chose by an older report.
+                        self.tell_others_to(owner, out);
+                    }
                     return;
                 }
                 self.runs
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -40,6 +40,10 @@
                     && reply == ServerReply::Stopped
                 {
                     held.enter(Phase::Stopped, now);
+                    // A start without an answer is settled by the next look.
+                    if !held.answered {
+                        self.look(now, Millis(0), out);
+                    }
                 }
             }
             Pending::Hold { sent, life, term } => {
@@ -64,6 +68,7 @@
         let owner = held.owner;
         match reply {
             ServerReply::Started { .. } => {
+                held.answered = true;
                 if held.phase == Phase::Starting {
                     held.enter(Phase::Running, now);
                 }
@@ -185,6 +190,7 @@
             let key = (*task, *run);
             let held = self.runs.or_insert_with(key, || Held::found(*run, now));
             held.percent = *percent;
+            held.answered = true;
             if matches!(held.phase, Phase::Starting | Phase::Doubt) {
                 held.enter(Phase::Running, now);
                 started.push((key, held.owner));
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -151,13 +151,19 @@
             .map(|(o, _)| *o)
             .collect();
         for owner in told {
-            let used = self.used(Some(owner));
-            if let Some(boss) = self.bosses.get_mut(&owner)
-                && boss.others != Some(used)
-            {
-                boss.others = Some(used);
-                out.push(AgentOutput::Report(owner, Report::Others(used)));
-            }
+            self.tell_others_to(owner, out);
+        }
+    }
+
+    /// Tells one dispatcher what the others' runs take, unless it knows.
+    pub(crate) fn tell_others_to(&mut self, owner: Owner, out: &mut Vec<AgentOutput>) {
+        let used = self.used(Some(owner));
+        if let Some(boss) = self.bosses.get_mut(&owner)
+            && boss.told
+            && boss.others != Some(used)
+        {
+            boss.others = Some(used);
+            out.push(AgentOutput::Report(owner, Report::Others(used)));
         }
     }
 }
--- a/src/dispatch/held.rs
+++ b/src/dispatch/held.rs
@@ -34,6 +34,8 @@
     /// When the phase began, or the last stop was sent.
     pub(crate) at: Millis,
     pub(crate) percent: u32,
+    /// The backend server is known to have started it.
+    pub(crate) answered: bool,
     /// An earlier life of the agent started it. Its lease ends soon unless its
     /// dispatcher grants more.
     pub(crate) found: bool,
@@ -47,6 +49,7 @@
             phase: Phase::Starting,
             at: now,
             percent: 0,
+            answered: false,
             found: false,
         }
     }
@@ -59,6 +62,7 @@
             phase: Phase::Running,
             at: now,
             percent: 0,
+            answered: true,
             found: true,
         }
     }
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -123,8 +123,13 @@
         let life = worker.life();
         if let Some(session) = worker.session {
             events::ORDERED.log(format_args!(
-                "task={key} run={} agent={} pace={:.2} used_cpu={} expected_ms={}",
-                run.0, worker.agent, worker.pace, worker.used.cpu, placed.expected.0
+                "task={key} run={} agent={} pace={:.2} used_cpu={} others_cpu={} expected_ms={}",
+                run.0,
+                worker.agent,
+                worker.pace,
+                worker.used.cpu,
+                worker.others.cpu,
+                placed.expected.0
             ));
             let order = Order::Start {
                 life,
