--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -9,15 +9,18 @@
 use super::held::{Held, HeldEnd, Phase};
 use super::server_call::{Beat, CallId, ServerCall, ServerCallKind, ServerReply};
 use super::spec::{Resources, Run, TaskId};
+use super::waiting::Waiting;
 use super::wire::{Denial, Order, Report, Server};
 use crate::control::log::Term;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 use crate::events;
 
-/// Longest that a look at the backend server waits for an end; several fit into
-/// one lease, so that a lost call does not cost it.
-pub(crate) const HOLD_WAIT: Millis = Millis(300);
+/// Longest that a look at the backend server waits for an end, while something runs
+/// and while nothing does; several fit into one lease, so that a lost call does not
+/// cost it.
+const HOLD_WAIT: Millis = Millis(100);
+const HOLD_IDLE: Millis = Millis(300);
 /// The backend server's clock may run so much slow, in percent.
 const DRIFT_PERCENT: u64 = 2;
 /// Added to a lease before it counts as lapsed: one hop on the same machine.
@@ -100,6 +103,8 @@
     // Until when the backend server's lease may last, by the own clock.
     pub(crate) leased: Millis,
     pub(crate) runs: Table<(TaskId, Run), Held>,
+    // Orders that wait for room, in the order of their start.
+    pub(crate) waiting: Vec<Waiting>,
     pub(crate) ends: Vec<HeldEnd>,
     pub(crate) known_end: u64,
     pub(crate) seen: u64,
@@ -107,6 +112,11 @@
     pub(crate) last_call: CallId,
     pub(crate) holding: u32,
     pub(crate) next_hold: Millis,
+    // When the latest look was sent, when one was answered last, and when the
+    // newest of those answered was sent.
+    pub(crate) looked_at: Millis,
+    pub(crate) answered: Millis,
+    pub(crate) listed: Millis,
     pub(crate) progress: Millis,
     pub(crate) others_told: Millis,
     pub(crate) others_due: bool,
@@ -129,6 +139,7 @@
             clock: None,
             leased: Millis(0),
             runs: Table::default(),
+            waiting: Vec::new(),
             ends: Vec::new(),
             known_end: 0,
             seen: 0,
@@ -136,6 +147,9 @@
             last_call: CallId(0),
             holding: 0,
             next_hold: Millis(0),
+            looked_at: Millis(0),
+            answered: Millis(0),
+            listed: Millis(0),
             progress: Millis(0),
             others_told: Millis(0),
             others_due: false,
@@ -178,6 +192,7 @@
             AgentInput::Replied(id, reply) => self.on_reply(now, id, reply, out),
             AgentInput::Tick => self.tick(now, out),
         }
+        self.start_waiting(now, out);
         self.tell_others(now, out);
     }
 
@@ -237,6 +252,7 @@
             self.runs.len()
         ));
         self.runs = Table::default();
+        self.waiting.clear();
         self.ends.clear();
         self.known_end = 0;
         self.seen = 0;
@@ -375,28 +391,19 @@
                 task,
                 run,
                 need,
+                rank,
                 payload,
             } => {
-                if let Some(reason) = self.denial(now, owner, life, need) {
-                    events::START_DENIED.log(format_args!(
-                        "task={task} run={} owner={owner:?} by=agent reason={reason:?} life={life} \
-                         used_cpu={} need_cpu={}",
-                        run.0,
-                        self.used(None).cpu,
-                        need.cpu
-                    ));
-                    let report = Report::NotStarted { task, run, reason };
-                    out.push(AgentOutput::Report(owner, report));
-                    if reason == Denial::Room {
-                        // The dispatcher chose by an older report.
-                        self.tell_others_to(owner, out);
-                    }
-                    return;
-                }
-                self.runs
-                    .insert((task, run), Held::starting(owner, need, now));
-                self.others_due = true;
-                self.call_start(now, task, run, payload, out);
+                let order = Waiting {
+                    owner,
+                    since: now,
+                    life,
+                    key: (task, run),
+                    need,
+                    rank,
+                    payload,
+                };
+                self.on_start(now, order, out);
             }
             Order::Stop { task, run } => self.stop(now, (task, run), out),
         }
@@ -433,7 +440,7 @@
     pub(crate) fn used(&self, except: Option<Owner>) -> Resources {
         let mut used = Resources::default();
         for (_, held) in self.runs.iter() {
-            if Some(held.owner) != except {
+            if Some(held.owner) != except && held.phase != Phase::Waiting {
                 used.add(held.need);
             }
         }
@@ -462,6 +469,10 @@
     }
 
     pub(crate) fn stop(&mut self, now: Millis, key: (TaskId, Run), out: &mut Vec<AgentOutput>) {
+        if let Some(order) = self.take_waiting(key) {
+            self.deny(now, &order, Denial::Closed, out);
+            return;
+        }
         if let Some(held) = self.runs.get_mut(&key) {
             held.enter(Phase::Stopping, now);
             self.call_stop(key.0, key.1, out);
@@ -522,6 +533,15 @@
         }));
     }
 
+    /// How long a look waits for an end.
+    pub(crate) fn hold_wait(&self) -> Millis {
+        if self.runs.is_empty() {
+            HOLD_IDLE
+        } else {
+            HOLD_WAIT
+        }
+    }
+
     /// Looks at the backend server, and extends its lease while that is allowed.
     pub(crate) fn look(&mut self, now: Millis, wait: Millis, out: &mut Vec<AgentOutput>) {
         if self.server.is_none() {
@@ -532,6 +552,7 @@
             self.note_lease(now);
         }
         self.holding += 1;
+        self.looked_at = now;
         let pending = Pending::Hold {
             sent: now,
             life: self.life(),
@@ -571,7 +592,7 @@
         self.seen = self.ends[last].number;
         self.ends.drain(..done);
         if self.ends.is_empty() && self.holding == 0 {
-            self.look(now, HOLD_WAIT, out);
+            self.look(now, self.hold_wait(), out);
         }
     }
 
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -1,6 +1,6 @@
 //! What the backend server's answers tell its agent.
 
-use super::agent::{Agent, AgentOutput, HOLD_WAIT, Pending};
+use super::agent::{Agent, AgentOutput, Pending};
 use super::book::End;
 use super::boss::Owner;
 use super::held::{Held, HeldEnd, Phase};
@@ -16,7 +16,7 @@
 /// once in each answer.
 const HOLD_PAUSE: Millis = Millis(6);
 /// Pause after a look that failed.
-const HOLD_RETRY: Millis = Millis(100);
+const HOLD_RETRY: Millis = Millis(40);
 
 impl Agent {
     pub(crate) fn on_reply(
@@ -125,6 +125,7 @@
             self.lose_server("another life answered", out);
             return;
         }
+        self.answered = now;
         self.clock = Some((lists.clock, now));
         let before = if let Some((_, term)) = self.looked {
             term
@@ -135,13 +136,17 @@
         };
         self.looked = Some((life, term.max(before)));
         self.take_ends(now, &lists, out);
-        self.take_running(now, sent, &lists, out);
+        // Answers may overtake each other; an older one lists runs that are over.
+        if sent >= self.listed {
+            self.listed = sent;
+            self.take_running(now, sent, &lists, out);
+        }
         self.settle_claims();
         self.tell_all(out);
         if !self.ends.is_empty() {
             self.next_hold = now + HOLD_PAUSE;
         } else if self.holding == 0 {
-            self.look(now, HOLD_WAIT, out);
+            self.look(now, self.hold_wait(), out);
         }
     }
 
@@ -223,7 +228,7 @@
             match held.phase {
                 Phase::Doubt => seal.push(*key),
                 Phase::Running | Phase::Stopped => never.push(*key),
-                Phase::Starting | Phase::Stopping => {}
+                Phase::Waiting | Phase::Starting | Phase::Stopping => {}
             }
         }
         for key in seal {
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -1,6 +1,6 @@
 //! An agent's regular work: what lapses, what is sent again, what is told late.
 
-use super::agent::{Agent, AgentOutput, HOLD_WAIT};
+use super::agent::{Agent, AgentOutput};
 use super::boss::Owner;
 use super::held::{Held, Phase};
 use super::spec::{Ending, Run, TaskId};
@@ -9,6 +9,9 @@
 use crate::core::table::Table;
 use crate::events;
 
+/// While something runs, the backend server is looked at so often at least: ends
+/// are seen late otherwise when a look gets no answer.
+const LOOK_AGAIN: Millis = Millis(40);
 /// Pause between stops of a run whose end is not listed yet.
 const STOP_RETRY: Millis = Millis(150);
 /// Between reports of progress.
@@ -29,12 +32,13 @@
         }
         if self.holding == 0 && now >= self.next_hold {
             let wait = if self.ends.is_empty() {
-                HOLD_WAIT
+                self.hold_wait()
             } else {
                 Millis(0)
             };
             self.look(now, wait, out);
         }
+        self.look_again(now, out);
         let overdue =
             |held: &Held| held.phase == Phase::Stopping && now.since(held.at) >= STOP_RETRY;
         let overdue: Vec<_> = self
@@ -50,6 +54,15 @@
         self.tell_progress(now, out);
     }
 
+    /// A look that waits for an end may also never be answered; another one that does
+    /// not wait tells.
+    fn look_again(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        let quiet = now.since(self.answered.max(self.looked_at)) >= LOOK_AGAIN;
+        if quiet && self.holding > 0 && !self.runs.is_empty() {
+            self.look(now, Millis(0), out);
+        }
+    }
+
     /// Stops the runs of dispatchers whose grant has lapsed.
     pub(crate) fn stop_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
         let mut stop = Vec::new();
@@ -89,6 +102,7 @@
         }
         events::LEASE_LAPSED.log(format_args!("life={} runs={runs} ends={void}", self.life()));
         self.runs = Table::default();
+        self.waiting.clear();
         for end in &mut self.ends {
             end.recorded |= end.owner == Owner::Group;
         }
