--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -9,7 +9,6 @@
 use super::held::{Held, HeldEnd, Phase};
 use super::server_call::{Beat, CallId, ServerCall, ServerCallKind, ServerReply};
 use super::spec::{Resources, Run, TaskId};
-use super::waiting::Waiting;
 use super::wire::{Denial, Order, Report, Server};
 use crate::control::log::Term;
 use crate::core::clock::Millis;
@@ -103,8 +102,6 @@
     // Until when the backend server's lease may last, by the own clock.
     pub(crate) leased: Millis,
     pub(crate) runs: Table<(TaskId, Run), Held>,
-    // Orders that wait for room, in the order of their start.
-    pub(crate) waiting: Vec<Waiting>,
     pub(crate) ends: Vec<HeldEnd>,
     pub(crate) known_end: u64,
     pub(crate) seen: u64,
@@ -139,7 +136,6 @@
             clock: None,
             leased: Millis(0),
             runs: Table::default(),
-            waiting: Vec::new(),
             ends: Vec::new(),
             known_end: 0,
             seen: 0,
@@ -192,7 +188,6 @@
             AgentInput::Replied(id, reply) => self.on_reply(now, id, reply, out),
             AgentInput::Tick => self.tick(now, out),
         }
-        self.start_waiting(now, out);
         self.tell_others(now, out);
     }
 
@@ -252,7 +247,6 @@
             self.runs.len()
         ));
         self.runs = Table::default();
-        self.waiting.clear();
         self.ends.clear();
         self.known_end = 0;
         self.seen = 0;
@@ -391,19 +385,28 @@
                 task,
                 run,
                 need,
-                rank,
                 payload,
             } => {
-                let order = Waiting {
-                    owner,
-                    since: now,
-                    life,
-                    key: (task, run),
-                    need,
-                    rank,
-                    payload,
-                };
-                self.on_start(now, order, out);
+                if let Some(reason) = self.denial(now, owner, life, need) {
+                    events::START_DENIED.log(format_args!(
+                        "task={task} run={} owner={owner:?} by=agent reason={reason:?} life={life} \
+                         used_cpu={} need_cpu={}",
+                        run.0,
+                        self.used(None).cpu,
+                        need.cpu
+                    ));
+                    let report = Report::NotStarted { task, run, reason };
+                    out.push(AgentOutput::Report(owner, report));
+                    if reason == Denial::Room {
+                        // The dispatcher chose by an older report.
+                        self.tell_others_to(owner, out);
+                    }
+                    return;
+                }
+                self.runs
+                    .insert((task, run), Held::starting(owner, need, now));
+                self.others_due = true;
+                self.call_start(now, task, run, payload, out);
             }
             Order::Stop { task, run } => self.stop(now, (task, run), out),
         }
@@ -440,7 +443,7 @@
     pub(crate) fn used(&self, except: Option<Owner>) -> Resources {
         let mut used = Resources::default();
         for (_, held) in self.runs.iter() {
-            if Some(held.owner) != except && held.phase != Phase::Waiting {
+            if Some(held.owner) != except {
                 used.add(held.need);
             }
         }
@@ -469,10 +472,6 @@
     }
 
     pub(crate) fn stop(&mut self, now: Millis, key: (TaskId, Run), out: &mut Vec<AgentOutput>) {
-        if let Some(order) = self.take_waiting(key) {
-            self.deny(now, &order, Denial::Closed, out);
-            return;
-        }
         if let Some(held) = self.runs.get_mut(&key) {
             held.enter(Phase::Stopping, now);
             self.call_stop(key.0, key.1, out);
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -228,7 +228,7 @@
             match held.phase {
                 Phase::Doubt => seal.push(*key),
                 Phase::Running | Phase::Stopped => never.push(*key),
-                Phase::Waiting | Phase::Starting | Phase::Stopping => {}
+                Phase::Starting | Phase::Stopping => {}
             }
         }
         for key in seal {
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -102,7 +102,6 @@
         }
         events::LEASE_LAPSED.log(format_args!("life={} runs={runs} ends={void}", self.life()));
         self.runs = Table::default();
-        self.waiting.clear();
         for end in &mut self.ends {
             end.recorded |= end.owner == Owner::Group;
         }
--- a/src/dispatch/demand.rs
+++ b/src/dispatch/demand.rs
@@ -1,8 +1,6 @@
 //! What each queue asks for, and how its jobs are put in order when there is not
 //! room for all.
 
-use serde::{Deserialize, Serialize};
-
 use super::live::{LiveJob, Outlook};
 use super::spec::Terms;
 use crate::core::clock::Millis;
@@ -17,8 +15,8 @@
 const RANK_SCALE: f64 = 16.0;
 
 /// How urgent a job is; the least goes first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Rank {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
     outlook: Outlook,
     cost: u64,
 }
--- a/src/dispatch/held.rs
+++ b/src/dispatch/held.rs
@@ -8,8 +8,6 @@
 /// Where a run stands at its agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
-    /// The order waits for room.
-    Waiting,
     /// The start is on its way.
     Starting,
     Running,
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
 use super::book::OpenJob;
 use super::spec::{Plan, Resources, Run, State, Step, TaskId};
 use super::worker::WorkerId;
@@ -46,7 +44,7 @@
 }
 
 /// What a job that starts now can still reach.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Outlook {
     /// Its objective.
     InTime,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -24,6 +24,5 @@
 pub(crate) mod slow;
 pub(crate) mod spec;
 pub(crate) mod waiter;
-pub(crate) mod waiting;
 pub(crate) mod wire;
 pub(crate) mod worker;
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -1,7 +1,7 @@
 //! Which task starts where.
 
 use super::dispatcher::{DispatchOutput, Dispatcher, RUNS_PER_MS, Reign};
-use super::live::{LiveJob, Outlook, Phase};
+use super::live::{LiveJob, Phase};
 use super::spec::{JobId, Plan, Run, TaskId};
 use super::wire::{Down, Order};
 use super::worker::{Placed, WorkerId};
@@ -12,9 +12,6 @@
 const TERM_BITS: u32 = 32;
 /// Jobs that find no room in a row before the rest is left for later.
 const MISSES: usize = 12;
-/// Part of a worker's cores, in percent, by which a dispatcher may order more than
-/// there is room for: one or two tasks that start as soon as others end.
-const AHEAD_PERCENT: u64 = 12;
 /// Data elsewhere makes a task so much slower, for placement.
 const OTHER_RACK: f64 = 1.5;
 
@@ -99,14 +96,9 @@
         out: &mut Vec<DispatchOutput>,
     ) -> bool {
         let avoid = job.task_mut(key).and_then(|t| t.avoid);
-        let useful = job.outlook(now) != Outlook::Overdue;
-        let ahead = if useful { AHEAD_PERCENT } else { 0 };
-        let chosen = self.choose(now, closed, &job.plan, key, avoid, 0);
-        let chosen = chosen.or_else(|| self.choose(now, closed, &job.plan, key, avoid, ahead));
-        let Some(id) = chosen else {
+        let Some(id) = self.choose(now, closed, &job.plan, key, avoid) else {
             return false;
         };
-        let rank = self.demand.rank(now, job);
         self.last_run += 1;
         let run = match self.reign {
             Reign::Group(term) => Run((term.0 << TERM_BITS) + self.last_run),
@@ -144,7 +136,6 @@
                 task: key,
                 run,
                 need: job.need(key),
-                rank,
                 payload: job.plan.payload.clone(),
             };
             out.push(DispatchOutput::Down(session, Down::Order(order)));
@@ -152,8 +143,7 @@
         true
     }
 
-    /// The worker on which the task is likely to end first, among those that have
-    /// room or lack at most `ahead` percent of their cores.
+    /// The worker on which the task is likely to end first.
     pub(crate) fn choose(
         &self,
         now: Millis,
@@ -161,7 +151,6 @@
         plan: &Plan,
         key: TaskId,
         avoid: Option<WorkerId>,
-        ahead: u64,
     ) -> Option<WorkerId> {
         let step = plan.step(key)?;
         let mut best: Option<(f64, WorkerId)> = None;
@@ -171,9 +160,7 @@
             };
             let mut used = worker.used;
             used.add(worker.others);
-            let mut capacity = server.capacity;
-            capacity.cpu = more(capacity.cpu, ahead);
-            let fits = capacity.fits(used, step.need);
+            let fits = server.capacity.fits(used, step.need);
             let out = closed.binary_search(&server.place).is_ok();
             let labelled = step
                 .label
@@ -207,12 +194,6 @@
     }
 }
 
-/// Cores with some percent more.
-fn more(cpu: u32, percent: u64) -> u32 {
-    let more = u64::from(cpu) * (100 + percent) / 100;
-    u32::try_from(more).unwrap_or(u32::MAX)
-}
-
 /// A time multiplied; durations stay far below 2^53 ms.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn scale(time: Millis, by: f64) -> u64 {
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -6,7 +6,6 @@
 
 use super::book::End;
 use super::call::{Call, Reply};
-use super::demand::Rank;
 use super::spec::{Resources, Run, Setup, TaskId};
 use crate::control::log::Term;
 use crate::control::message::Message;
@@ -99,8 +98,6 @@
         run: Run,
         /// What it takes.
         need: Resources,
-        /// How urgent its job is, for an order that waits for room.
-        rank: Rank,
         /// Handed to the backend server.
         payload: String,
     },
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -19,6 +19,8 @@
 pub const HOLD: Millis = Millis(1_000);
 /// Time of the fake wall clock at the start.
 const WALL: u64 = 1_780_000_000_000;
+/// A look that is not answered is given up so much later.
+const GIVEN_UP: Millis = Millis(600);
 const BEAT: u64 = 250;
 const SILENCE: u64 = 900;
 
@@ -36,6 +38,8 @@
     pub frozen: bool,
     /// Starts get no answer and are carried out so much later.
     pub late: Option<Millis>,
+    /// So many of the next looks get no answer; the agent gives them up later.
+    pub lost_looks: u32,
     inbox: Vec<ServerAgentInput>,
 }
 
@@ -56,6 +60,8 @@
     pub cut: Vec<(usize, usize)>,
     /// Calls with the time at which they are carried out.
     late: VecDeque<(Millis, usize, ServerCall)>,
+    /// Calls without an answer, with the time at which they are given up.
+    lost: VecDeque<(Millis, usize, CallId)>,
     sessions: Vec<Session>,
     down: VecDeque<(Millis, SessionId, Down)>,
     up: VecDeque<(Millis, SessionId, Up)>,
@@ -122,6 +128,7 @@
             agents: Vec::new(),
             cut: Vec::new(),
             late: VecDeque::new(),
+            lost: VecDeque::new(),
             sessions: Vec::new(),
             down: VecDeque::new(),
             up: VecDeque::new(),
@@ -142,6 +149,7 @@
                 server: FakeServer::new(&format!("s{at}"), &format!("dc{at}"), Millis(work)),
                 frozen: false,
                 late: None,
+                lost_looks: 0,
                 inbox: Vec::new(),
             });
         }
@@ -358,11 +366,19 @@
     /// Carries out calls to backend servers.
     fn serve(&mut self) {
         let now = self.now;
+        while let Some((_, agent, id)) = self.lost.pop_front_if(|(at, ..)| *at <= now) {
+            self.reply(agent, id, ServerReply::Silent);
+        }
         while let Some((_, agent, call)) = self.late.pop_front_if(|(at, ..)| *at <= now) {
             self.agents[agent].server.call(now, &call);
         }
         while let Some((_, agent, call)) = self.calls.pop_front_if(|(at, ..)| *at < now) {
             let start = matches!(call.kind, fulmardrift::ServerCallKind::Start { .. });
+            if !start && self.agents[agent].lost_looks > 0 {
+                self.agents[agent].lost_looks -= 1;
+                self.lost.push_back((now + GIVEN_UP, agent, call.id));
+                continue;
+            }
             let reply = match self.agents[agent].late {
                 Some(delay) if start => {
                     self.late.push_back((now + delay, agent, call.clone()));
--- a/tests/loose_jobs.rs
+++ b/tests/loose_jobs.rs
@@ -139,6 +139,20 @@
     assert_eq!(fleet.spans().len(), 2, "the late starts did nothing");
 }
 
+#[test]
+fn a_look_without_an_answer_does_not_hide_the_ends() {
+    let mut fleet = Fleet::new(1, 2, 50);
+    fleet.call(0, 1, submit(JobId(7), job(6, 50, true)), 1_500);
+    fleet.run(20);
+    for slot in &mut fleet.agents {
+        slot.lost_looks = 1;
+    }
+    // The work, and as much again for the second look.
+    fleet.run(100);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert!(fleet.agents.iter().all(|slot| slot.lost_looks == 0));
+}
+
 #[test]
 fn a_crashed_backend_servers_tasks_run_elsewhere() {
     let mut fleet = Fleet::new(1, 2, 300);
