Entry: not ready while it reaches neither a worker nor a leader

Change: an entry says that it is ready when it has a configuration and a worker that can be given work, or a leader.

Test: loose_jobs::an_entry_that_reaches_no_worker_is_not_ready.

--- a/src/dispatch/desk.rs
+++ b/src/dispatch/desk.rs
@@ -473,8 +473,11 @@
         self.open.len()
     }
 
-    /// True once calls can be decided.
-    pub(crate) fn is_ready(&self) -> bool {
-        self.setup.is_some()
+    /// True while new callers are served best here: calls can be decided, and there
+    /// is a worker to use or a leader to ask.
+    #[must_use]
+    pub fn is_ready(&self, now: Millis) -> bool {
+        let able = self.leader.is_some() || self.dispatcher.has_open_worker(now, &self.out);
+        self.setup.is_some() && able
     }
 }
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -4,7 +4,7 @@
 use super::live::{LiveJob, Phase};
 use super::spec::{JobId, Plan, Run, TaskId};
 use super::wire::{Down, Order};
-use super::worker::{Placed, WorkerId};
+use super::worker::{Placed, Worker, WorkerId};
 use crate::core::clock::Millis;
 use crate::events;
 
@@ -143,6 +143,16 @@
         true
     }
 
+    /// True while some worker can be given work, with or without room at the moment.
+    pub(crate) fn has_open_worker(&self, now: Millis, closed: &[String]) -> bool {
+        let usable = |worker: &Worker| {
+            let server = worker.server.as_ref().filter(|s| !s.leaving);
+            let open = server.is_some_and(|s| closed.binary_search(&s.place).is_err());
+            open && worker.is_heard(now)
+        };
+        self.workers.iter().any(usable)
+    }
+
     /// The worker on which the task is likely to end first.
     pub(crate) fn choose(
         &self,
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -101,12 +101,16 @@
 
     /// The backend server, when it can be given new work.
     pub(crate) fn open(&self, now: Millis) -> Option<&Server> {
-        let heard = now.since(self.heard) < QUIET_AFTER;
-        let able = self.ready && self.enrolled && self.session.is_some() && heard;
+        let able = self.ready && self.enrolled && self.is_heard(now);
         let server = self.server.as_ref()?;
         (able && !server.leaving && now >= self.shunned && now >= self.full).then_some(server)
     }
 
+    /// True while its agent has a session and was heard lately.
+    pub(crate) fn is_heard(&self, now: Millis) -> bool {
+        self.session.is_some() && now.since(self.heard) < QUIET_AFTER
+    }
+
     pub(crate) fn life(&self) -> u64 {
         self.server.as_ref().map_or(0, |s| s.life)
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -121,6 +121,8 @@
     SESSION_UP = 617 Info "session-up";
     /// A session with another process is gone.
     SESSION_DOWN = 618 Info "session-down";
+    /// An entry starts or ceases to be of use to new callers.
+    READY = 619 Info "ready";
     /// A call could not be understood.
     BAD_CALL = 620 Info "bad-call";
     /// Log lines were dropped since the last such line.
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -138,7 +138,7 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// True once calls can be decided.
+    /// True while new callers are served best here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
@@ -202,7 +202,14 @@
                 self.put(output);
             }
             self.open.store(self.desk.len(), Ordering::Relaxed);
-            self.ready.store(self.desk.is_ready(), Ordering::Relaxed);
+            self.note_ready();
+        }
+    }
+
+    fn note_ready(&self) {
+        let ready = self.desk.is_ready(self.clock.now());
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            events::READY.log(format_args!("ready={ready}"));
         }
     }
 
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -229,6 +229,11 @@
             .map(|(_, reply)| reply)
     }
 
+    pub fn is_ready(&self, entry: usize) -> bool {
+        let desk = self.entries[entry].desk.as_ref();
+        desk.is_some_and(|desk| desk.is_ready(self.now))
+    }
+
     fn wall(&self, entry: usize) -> Millis {
         let wall = WALL + self.now.0;
         Millis(wall.saturating_add_signed(self.entries[entry].skew))
--- a/tests/loose_jobs.rs
+++ b/tests/loose_jobs.rs
@@ -317,6 +317,21 @@
     assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
 }
 
+#[test]
+fn an_entry_that_reaches_no_worker_is_not_ready() {
+    let mut fleet = Fleet::new(2, 2, 50);
+    assert!(fleet.is_ready(0));
+    fleet.cut = vec![(0, 0)];
+    fleet.run(2_000);
+    assert!(fleet.is_ready(0), "one worker is left");
+    fleet.desk_input(0, DeskInput::Out(9, vec!["dc1".to_owned()]));
+    assert!(!fleet.is_ready(0), "its data centre is out");
+    assert!(fleet.is_ready(1));
+    fleet.cut.clear();
+    fleet.run(500);
+    assert!(fleet.is_ready(0));
+}
+
 #[test]
 fn an_unknown_queue_is_told_from_the_configuration_in_force() {
     let mut fleet = Fleet::new(1, 1, 50);
