--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -119,10 +119,12 @@
     ///
     /// Its data folder, its log or its address cannot be used.
     pub async fn start(cfg: ControlNodeConfig) -> Result<Self, ControlStartError> {
+        let clock = Clock::new();
+        let began = clock.now();
         let fresh = DiskId(rand::rng().random_range(1..u64::MAX));
         let folder = Folder::open(&cfg.data).context(DataFolderSnafu)?;
         let (wal, durable) = Wal::open(folder, fresh).context(DataLogSnafu)?;
-        let clock = Clock::new();
+        let opened = clock.now().since(began);
         let address = cfg.address;
         let listener = TcpListener::bind(address)
             .await
@@ -157,7 +159,10 @@
             stopped: Vec::new(),
         };
         tokio::spawn(actor.run(rx));
-        events::STARTED.log(format_args!("control address={address} founder={founder}"));
+        events::STARTED.log(format_args!(
+            "control address={address} founder={founder} log_opened_ms={}",
+            opened.0
+        ));
         Ok(Self { tx, leader })
     }
 
