Leases end with the first grant; schedules of faults around loose jobs

Change: a lease ends with the first grant among the dispatchers that have runs here (so far that was so for the group only). Their runs are stopped 200 ms before, so that the lease goes on for the others. Unclaimed runs are given up after 400 ms.

Modules split on the way: agent_calls, view, answers.

--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -24,7 +24,9 @@
             id: self.id,
             disk: self.disk,
         }];
-        self.unled = self.votes.clone();
+        if let Some(unled) = &mut self.unled {
+            unled.clone_from(&self.votes);
+        }
         if self.is_quorum(&self.votes) {
             self.stand(now, Leave::None, out);
             return;
@@ -46,7 +48,7 @@
     ) {
         let able = term > self.term && last >= self.log.last();
         let granted = able && !self.is_led(now);
-        let unled = able && self.fresh;
+        let unled = able && self.unled.is_some();
         let current = self.term;
         self.send(
             from,
@@ -84,12 +86,15 @@
         if said.granted && !self.votes.contains(&from) {
             self.votes.push(from);
         }
-        if said.unled && !self.unled.contains(&from) {
-            self.unled.push(from);
+        if let Some(unled) = &mut self.unled
+            && said.unled
+            && !unled.contains(&from)
+        {
+            unled.push(from);
         }
         if self.is_quorum(&self.votes) {
             self.stand(now, Leave::None, out);
-        } else if self.fresh && self.is_all(&self.unled) {
+        } else if self.unled.as_ref().is_some_and(|unled| self.is_all(unled)) {
             self.stand(now, Leave::Unled, out);
         }
     }
@@ -124,7 +129,7 @@
         let free = match leave {
             Leave::None => false,
             Leave::Handover => true,
-            Leave::Unled => self.fresh,
+            Leave::Unled => self.unled.is_some(),
         };
         if term > self.term && self.is_led(now) && !free {
             // Someone cut off comes back; the leader's lease counts on this.
@@ -197,7 +202,7 @@
     fn reign(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
         self.role = RaftRole::Leader;
         self.leader = Some(self.id);
-        self.fresh = false;
+        self.unled = None;
         self.beat = now;
         self.heard = now;
         self.progress = Table::default();
@@ -251,7 +256,7 @@
         }
         self.role = RaftRole::Follower;
         self.leader = Some(from);
-        self.fresh = false;
+        self.unled = None;
         self.heard = now;
         self.rest(now);
         true
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,3 +14,4 @@
 pub(crate) mod replicate;
 pub(crate) mod server;
 pub(crate) mod settings;
+pub(crate) mod view;
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -127,10 +127,9 @@
     pub(crate) heard: Millis,
     pub(crate) due: Millis,
     pub(crate) votes: Vec<Voter>,
-    // Heard no leader since the start, and led no one.
-    pub(crate) fresh: bool,
-    // Voters that say the same of themselves.
-    pub(crate) unled: Vec<Voter>,
+    // Until a leader is heard: voters that have heard none either since they
+    // started.
+    pub(crate) unled: Option<Vec<Voter>>,
     pub(crate) progress: Table<ReplicaId, Progress>,
     pub(crate) beat: Millis,
     // First entry of the own term, while leading.
@@ -205,8 +204,7 @@
             heard: now,
             due: now,
             votes: Vec::new(),
-            fresh: true,
-            unled: Vec::new(),
+            unled: Some(Vec::new()),
             progress: Table::default(),
             beat: now,
             reign: Index(0),
@@ -515,11 +513,11 @@
         self.due = now + Millis(election + extra);
     }
 
-    /// Waits a little before asking the voters whether they would vote. While this
-    /// replica is fresh it asks often: it costs nothing, and all may have started
+    /// Waits a little before asking the voters whether they would vote. Until it
+    /// has heard a leader it asks often: it costs nothing, and all may have started
     /// anew.
     pub(crate) fn rest_before_asking(&mut self, now: Millis) {
-        if !self.fresh {
+        if self.unled.is_none() {
             self.rest(now);
             return;
         }
@@ -528,72 +526,6 @@
         self.due = now + Millis(beat + extra);
     }
 
-    /// True while this replica leads.
-    #[must_use]
-    pub fn is_leader(&self) -> bool {
-        self.role == RaftRole::Leader
-    }
-
-    /// What the replica is at the moment.
-    #[must_use]
-    pub fn role(&self) -> RaftRole {
-        self.role
-    }
-
-    /// The leader, as far as this replica knows.
-    #[must_use]
-    pub fn leader(&self) -> Option<ReplicaId> {
-        self.leader
-    }
-
-    /// The current term.
-    #[must_use]
-    pub fn term(&self) -> Term {
-        self.term
-    }
-
-    /// Up to where the log is committed, as far as this replica knows.
-    #[must_use]
-    pub fn committed(&self) -> Index {
-        self.commit
-    }
-
-    /// The last entry's position.
-    #[must_use]
-    pub fn last(&self) -> Position {
-        self.log.last()
-    }
-
-    /// The voters by the latest entry.
-    #[must_use]
-    pub fn voters(&self) -> &[Voter] {
-        self.log.voters().0
-    }
-
-    /// The snapshot the log starts from.
-    #[must_use]
-    pub fn snapshot(&self) -> &Snapshot {
-        &self.log.snapshot
-    }
-
-    /// This replica's disk.
-    #[must_use]
-    pub fn disk(&self) -> DiskId {
-        self.disk
-    }
-
-    /// The entry at `index`, while it is still in the log.
-    #[must_use]
-    pub fn entry(&self, index: Index) -> Option<&LogEntry> {
-        self.log.get(index)
-    }
-
-    /// Number of entries since the last snapshot.
-    #[must_use]
-    pub fn backlog(&self) -> usize {
-        self.log.len()
-    }
-
     /// Replaces the log up to the applied entry `index` by its state.
     pub fn compact(&mut self, index: Index, data: Bytes, out: &mut Vec<RaftOutput>) {
         let index = index.min(self.commit);
@@ -626,14 +558,4 @@
         }
         self.write(records, out)
     }
-
-    /// True while no other replica can have committed anything: a quorum confirmed
-    /// this leader recently enough, and it has committed an entry of its own.
-    #[must_use]
-    pub fn holds_lease(&self, now: Millis) -> bool {
-        self.is_leader()
-            && !self.stopping
-            && self.commit >= self.reign
-            && now < self.confirmed(now) + self.timing.election - self.timing.margin
-    }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! and an input, and answers with outputs.
 
 pub(crate) mod agent;
+pub(crate) mod answers;
 pub(crate) mod breaker;
 pub(crate) mod chart;
 pub(crate) mod clock;
--- a/src/core/own.rs
+++ b/src/core/own.rs
@@ -2,9 +2,10 @@
 
 use bytes::Bytes;
 
+use super::answers::give_up;
 use super::chart::ChartError;
 use super::clock::Millis;
-use super::entry::{Entry, give_up};
+use super::entry::Entry;
 use super::entry_io::{Claimed, EntryOutput};
 use super::ids::Incarnation;
 use super::job::{Answer, Failure, Handle, JobEvent, JobState, Refusal, Step};
--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -6,8 +6,9 @@
 //! stopped.
 
 use super::boss::{Boss, Owner};
-use super::held::{Held, HeldEnd, Phase};
-use super::server_call::{Beat, CallId, ServerCall, ServerCallKind, ServerReply};
+use super::guard::{Guards, JobGuard};
+use super::held::{Held, HeldEnd};
+use super::server_call::{Beat, CallId, ServerCall, ServerReply};
 use super::spec::{Resources, Run, TaskId};
 use super::wire::{Denial, Order, Report, Server};
 use crate::control::log::Term;
@@ -15,16 +16,6 @@
 use crate::core::table::Table;
 use crate::events;
 
-/// Longest that a look at the backend server waits for an end, while something runs
-/// and while nothing does; several fit into one lease, so that a lost call does not
-/// cost it.
-const HOLD_WAIT: Millis = Millis(100);
-const HOLD_IDLE: Millis = Millis(300);
-/// The backend server's clock may run so much slow, in percent.
-const DRIFT_PERCENT: u64 = 2;
-/// Added to a lease before it counts as lapsed: one hop on the same machine.
-const LAPSE_MARGIN: Millis = Millis(50);
-
 /// What reaches an agent.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AgentInput {
@@ -117,6 +108,7 @@
     pub(crate) progress: Millis,
     pub(crate) others_told: Millis,
     pub(crate) others_due: bool,
+    pub(crate) guards: Guards,
 }
 
 impl Agent {
@@ -149,9 +141,15 @@
             progress: Millis(0),
             others_told: Millis(0),
             others_due: false,
+            guards: Guards::default(),
         }
     }
 
+    /// Turns a rule off, so that a checker can show that it is needed.
+    pub fn disable(&mut self, guard: JobGuard) {
+        self.guards.disable(guard);
+    }
+
     /// Takes one input at `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Millis, input: AgentInput, out: &mut Vec<AgentOutput>) {
         // A process that was suspended wakes with a lease that has run out.
@@ -423,7 +421,7 @@
         let told = self
             .bosses
             .get(&owner)
-            .is_some_and(|b| b.told && now < b.granted);
+            .is_some_and(|b| b.told && (b.may_act(now) || !self.guards.on(JobGuard::Grant)));
         let server = self
             .server
             .as_ref()
@@ -450,121 +448,6 @@
         used
     }
 
-    pub(crate) fn call_start(
-        &mut self,
-        now: Millis,
-        task: TaskId,
-        run: Run,
-        payload: String,
-        out: &mut Vec<AgentOutput>,
-    ) {
-        let Some(until) = self.lease_end(now) else {
-            return;
-        };
-        self.note_lease(now);
-        let kind = ServerCallKind::Start {
-            task,
-            run,
-            payload,
-            until,
-        };
-        self.call(Pending::Start(task, run), kind, out);
-    }
-
-    pub(crate) fn stop(&mut self, now: Millis, key: (TaskId, Run), out: &mut Vec<AgentOutput>) {
-        if let Some(held) = self.runs.get_mut(&key) {
-            held.enter(Phase::Stopping, now);
-            self.call_stop(key.0, key.1, out);
-        }
-    }
-
-    /// The end of a lease given now, on the backend server's clock; `None` while
-    /// no dispatcher's grant lasts or that clock is not known.
-    pub(crate) fn lease_end(&self, now: Millis) -> Option<Millis> {
-        let (clock, at) = self.clock?;
-        let granted = self.granted()?;
-        let length = self.times.hold.min(granted.since(now));
-        if length == Millis(0) {
-            return None;
-        }
-        Some(clock + now.since(at) + length)
-    }
-
-    /// Until when some dispatcher lets the agent act. While runs or unrecorded ends
-    /// of stored jobs are here, only the group does: when its grant lapses, its
-    /// leader starts their tasks elsewhere and counts on the lease to have ended.
-    fn granted(&self) -> Option<Millis> {
-        let stored = self.runs.iter().any(|(_, h)| h.owner == Owner::Group)
-            || self.ends.iter().any(HeldEnd::binds_lease);
-        if stored {
-            return self.bosses.get(&Owner::Group).map(|boss| boss.granted);
-        }
-        self.bosses.iter().map(|(_, boss)| boss.granted).max()
-    }
-
-    pub(crate) fn note_lease(&mut self, now: Millis) {
-        let hold = self.times.hold.0;
-        let longest = Millis(hold + hold * DRIFT_PERCENT / 100) + LAPSE_MARGIN;
-        self.leased = self.leased.max(now + longest);
-    }
-
-    pub(crate) fn call_stop(&mut self, task: TaskId, run: Run, out: &mut Vec<AgentOutput>) {
-        let kind = ServerCallKind::Stop { task, run };
-        self.call(Pending::Stop(task, run), kind, out);
-    }
-
-    pub(crate) fn call(
-        &mut self,
-        pending: Pending,
-        kind: ServerCallKind,
-        out: &mut Vec<AgentOutput>,
-    ) {
-        let Some(server) = &self.server else {
-            return;
-        };
-        self.last_call = CallId(self.last_call.0 + 1);
-        self.pending.insert(self.last_call, pending);
-        out.push(AgentOutput::Call(ServerCall {
-            id: self.last_call,
-            server: server.id.clone(),
-            token: self.term.0.max(self.floor),
-            kind,
-        }));
-    }
-
-    /// How long a look waits for an end.
-    pub(crate) fn hold_wait(&self) -> Millis {
-        if self.runs.is_empty() {
-            HOLD_IDLE
-        } else {
-            HOLD_WAIT
-        }
-    }
-
-    /// Looks at the backend server, and extends its lease while that is allowed.
-    pub(crate) fn look(&mut self, now: Millis, wait: Millis, out: &mut Vec<AgentOutput>) {
-        if self.server.is_none() {
-            return;
-        }
-        let until = self.lease_end(now);
-        if until.is_some() {
-            self.note_lease(now);
-        }
-        self.holding += 1;
-        self.looked_at = now;
-        let pending = Pending::Hold {
-            sent: now,
-            life: self.life(),
-            term: self.term,
-        };
-        let kind = ServerCallKind::Hold {
-            seen: self.seen,
-            until,
-            wait,
-        };
-        self.call(pending, kind, out);
-    }
-
     pub(crate) fn on_recorded(
         &mut self,
         now: Millis,
--- /dev/null
+++ b/src/dispatch/agent_calls.rs
@@ -0,0 +1,145 @@
+//! An agent's calls to its backend server, and the lease that they extend.
+
+use super::agent::{Agent, AgentOutput, Pending};
+use super::boss::Owner;
+use super::guard::JobGuard;
+use super::held::Phase;
+use super::server_call::{CallId, ServerCall, ServerCallKind};
+use super::spec::{Run, TaskId};
+use crate::core::clock::Millis;
+
+/// Longest that a look at the backend server waits for an end, while something runs
+/// and while nothing does; several fit into one lease, so that a lost call does not
+/// cost it.
+const HOLD_WAIT: Millis = Millis(100);
+const HOLD_IDLE: Millis = Millis(300);
+/// The backend server's clock may run so much slow, in percent.
+const DRIFT_PERCENT: u64 = 2;
+/// Added to a lease before it counts as lapsed: one hop on the same machine.
+const LAPSE_MARGIN: Millis = Millis(50);
+
+impl Agent {
+    pub(crate) fn call_start(
+        &mut self,
+        now: Millis,
+        task: TaskId,
+        run: Run,
+        payload: String,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        let Some(until) = self.lease_end(now) else {
+            return;
+        };
+        self.note_lease(now, self.lease_length(now));
+        let kind = ServerCallKind::Start {
+            task,
+            run,
+            payload,
+            until,
+        };
+        self.call(Pending::Start(task, run), kind, out);
+    }
+
+    pub(crate) fn stop(&mut self, now: Millis, key: (TaskId, Run), out: &mut Vec<AgentOutput>) {
+        if let Some(held) = self.runs.get_mut(&key) {
+            held.enter(Phase::Stopping, now);
+            self.call_stop(key.0, key.1, out);
+        }
+    }
+
+    /// The end of a lease given now, on the backend server's clock; `None` while
+    /// no dispatcher's grant lasts or that clock is not known.
+    pub(crate) fn lease_end(&self, now: Millis) -> Option<Millis> {
+        let (clock, at) = self.clock?;
+        let length = self.lease_length(now);
+        (length > Millis(0)).then(|| clock + now.since(at) + length)
+    }
+
+    /// How long a lease given now may last.
+    pub(crate) fn lease_length(&self, now: Millis) -> Millis {
+        self.times.hold.min(self.granted().since(now))
+    }
+
+    /// Until when the backend server may be leased. A lease covers all that runs
+    /// there, so it ends with the first grant of a dispatcher that has something
+    /// here: when that dispatcher is lost, its tasks are started elsewhere after
+    /// its grant, whatever becomes of this process.
+    fn granted(&self) -> Millis {
+        let of_runs = self.runs.iter().map(|(_, held)| held.owner);
+        let binding = self.ends.iter().filter(|end| end.binds_lease());
+        let owners = of_runs.chain(binding.map(|end| end.owner));
+        let granted = |owner: Owner| {
+            let boss = self.bosses.get(&owner);
+            boss.map_or(Millis(0), |boss| boss.granted)
+        };
+        let longest = self.bosses.iter().map(|(_, boss)| boss.granted).max();
+        let first = owners.map(granted).min();
+        match (first, longest) {
+            (Some(first), _) if self.guards.on(JobGuard::Lease) => first,
+            (_, longest) => longest.unwrap_or(Millis(0)),
+        }
+    }
+
+    /// Notes that a lease of this length is given now.
+    pub(crate) fn note_lease(&mut self, now: Millis, length: Millis) {
+        let drift = Millis(length.0 * DRIFT_PERCENT / 100);
+        self.leased = self.leased.max(now + length + drift + LAPSE_MARGIN);
+    }
+
+    pub(crate) fn call_stop(&mut self, task: TaskId, run: Run, out: &mut Vec<AgentOutput>) {
+        let kind = ServerCallKind::Stop { task, run };
+        self.call(Pending::Stop(task, run), kind, out);
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        pending: Pending,
+        kind: ServerCallKind,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        let Some(server) = &self.server else {
+            return;
+        };
+        self.last_call = CallId(self.last_call.0 + 1);
+        self.pending.insert(self.last_call, pending);
+        out.push(AgentOutput::Call(ServerCall {
+            id: self.last_call,
+            server: server.id.clone(),
+            token: self.term.0.max(self.floor),
+            kind,
+        }));
+    }
+
+    /// How long a look waits for an end.
+    pub(crate) fn hold_wait(&self) -> Millis {
+        if self.runs.is_empty() {
+            HOLD_IDLE
+        } else {
+            HOLD_WAIT
+        }
+    }
+
+    /// Looks at the backend server, and extends its lease while that is allowed.
+    pub(crate) fn look(&mut self, now: Millis, wait: Millis, out: &mut Vec<AgentOutput>) {
+        if self.server.is_none() {
+            return;
+        }
+        let until = self.lease_end(now);
+        if until.is_some() {
+            self.note_lease(now, self.lease_length(now));
+        }
+        self.holding += 1;
+        self.looked_at = now;
+        let pending = Pending::Hold {
+            sent: now,
+            life: self.life(),
+            term: self.term,
+        };
+        let kind = ServerCallKind::Hold {
+            seen: self.seen,
+            until,
+            wait,
+        };
+        self.call(pending, kind, out);
+    }
+}
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -3,6 +3,7 @@
 use super::agent::{Agent, AgentOutput, Pending};
 use super::book::End;
 use super::boss::Owner;
+use super::guard::JobGuard;
 use super::held::{Held, HeldEnd, Phase};
 use super::server_call::{CallId, Lists, ServerReply};
 use super::spec::{Run, TaskId};
@@ -131,7 +132,7 @@
             term
         } else {
             // What an earlier life of this agent started may have a whole lease.
-            self.note_lease(now);
+            self.note_lease(now, self.times.hold);
             Term(0)
         };
         self.looked = Some((life, term.max(before)));
@@ -226,8 +227,8 @@
                 continue;
             }
             match held.phase {
-                Phase::Doubt => seal.push(*key),
-                Phase::Running | Phase::Stopped => never.push(*key),
+                Phase::Doubt if self.guards.on(JobGuard::Seal) => seal.push(*key),
+                Phase::Doubt | Phase::Running | Phase::Stopped => never.push(*key),
                 Phase::Starting | Phase::Stopping => {}
             }
         }
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -2,6 +2,7 @@
 
 use super::agent::{Agent, AgentOutput};
 use super::boss::Owner;
+use super::guard::JobGuard;
 use super::held::{Held, Phase};
 use super::spec::{Ending, Run, TaskId};
 use super::wire::Report;
@@ -13,14 +14,14 @@
 /// are seen late otherwise when a look gets no answer.
 const LOOK_AGAIN: Millis = Millis(40);
 /// Pause between stops of a run whose end is not listed yet.
-const STOP_RETRY: Millis = Millis(150);
+const STOP_RETRY: Millis = Millis(80);
 /// Between reports of progress.
 const PROGRESS_EVERY: Millis = Millis(200);
 /// Between reports of what other dispatchers use.
 const OTHERS_EVERY: Millis = Millis(8);
 /// A run or an end that no dispatcher claims is given up after this: sessions are
-/// opened anew well inside it.
-const CLAIM_WITHIN: Millis = Millis(1_000);
+/// opened anew inside it, and the worker can be leased no longer meanwhile.
+const CLAIM_WITHIN: Millis = Millis(400);
 /// A dispatcher without a session is forgotten so long after its grant.
 const FORGET_AFTER: Millis = Millis(3_000);
 
@@ -67,12 +68,11 @@
     pub(crate) fn stop_lapsed(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
         let mut stop = Vec::new();
         for (key, held) in self.runs.iter() {
-            let granted = self
-                .bosses
-                .get(&held.owner)
-                .map_or(Millis(0), |b| b.granted);
+            let boss = self.bosses.get(&held.owner);
+            let granted = boss.is_some_and(|boss| boss.may_act(now));
             let fresh = held.found && now.since(held.at) < CLAIM_WITHIN;
-            if now >= granted && !fresh && !held.phase.is_stopping() {
+            let lapsed = !granted && self.guards.on(JobGuard::Grant);
+            if lapsed && !fresh && !held.phase.is_stopping() {
                 stop.push((*key, held.owner));
             }
         }
--- a/src/dispatch/boss.rs
+++ b/src/dispatch/boss.rs
@@ -7,6 +7,11 @@
 /// clock, those of stored jobs by a term.
 const CLOCK_RUNS: u64 = 1 << 50;
 
+/// The runs of a dispatcher are stopped so long before its grant ends, so that the
+/// lease, which ends with it, can be extended for the others: a stop with two
+/// retries.
+const STOP_AHEAD: Millis = Millis(200);
+
 /// Whose run it is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Owner {
@@ -47,6 +52,12 @@
 }
 
 impl Boss {
+    /// True while the agent may act for it, with time left to stop what runs before
+    /// the lease ends with the grant.
+    pub(crate) fn may_act(&self, now: Millis) -> bool {
+        now + STOP_AHEAD < self.granted
+    }
+
     pub(crate) fn connect(&mut self, epoch: u64) {
         self.epoch = epoch;
         self.linked = true;
--- a/src/dispatch/desk.rs
+++ b/src/dispatch/desk.rs
@@ -9,6 +9,7 @@
 use super::book::OpenJob;
 use super::call::{Call, Reply, Want};
 use super::dispatcher::{DispatchOutput, Dispatcher, Reign};
+use super::guard::JobGuard;
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, Setup, State, Terms};
 use super::wire::{Down, Up, Who};
@@ -127,10 +128,9 @@
 }
 
 impl Desk {
-    /// A desk in one life of its entry; `hold` is the longest lease of a backend
-    /// server.
+    /// A desk in one life of its entry.
     #[must_use]
-    pub fn new(life: u64, hold: Millis, now: Millis) -> Self {
+    pub fn new(life: u64, now: Millis) -> Self {
         Self {
             life,
             open: Table::default(),
@@ -138,7 +138,7 @@
             setup: None,
             out_index: 0,
             out: Vec::new(),
-            dispatcher: Dispatcher::new(Reign::Entry(life), hold, now),
+            dispatcher: Dispatcher::new(Reign::Entry(life), now),
             callers: Table::default(),
             recent: Table::default(),
             swept: now,
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Turns a rule off, so that a checker can show that it is needed.
+    pub fn disable(&mut self, guard: JobGuard) {
+        self.dispatcher.guards.disable(guard);
+    }
+
     /// Takes one input at `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Millis, input: DeskInput, out: &mut Vec<DeskOutput>) {
         match input {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -5,6 +5,7 @@
 
 use super::book::{Book, Change, End, Entry, Job, OpenJob};
 use super::demand::{Demand, Rank};
+use super::guard::{Guards, JobGuard};
 use super::live::{LiveJob, Outlook, Phase};
 use super::reports::tell_recorded;
 use super::spec::{JobId, State, Terms};
@@ -20,8 +21,8 @@
 /// An agent may act for an entry so long after it asked. A caller that lost its
 /// entry submits again after 1.3 s; the agent has stopped the job's runs by then.
 pub(crate) const ENTRY_GRANT: Millis = Millis(800);
-/// Added to grant and lease before a silent worker counts as empty: clock drift
-/// and hops.
+/// Added to a grant before a silent worker counts as empty: hops, and the time for
+/// which a backend server's clock is not looked at.
 const LAPSE_MARGIN: Millis = Millis(250);
 /// The backend server's clock may run so much slow, in percent.
 const DRIFT_PERCENT: u64 = 2;
@@ -75,8 +76,6 @@
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
     pub(crate) reign: Reign,
-    // Longest lease of a backend server.
-    pub(crate) hold: Millis,
     pub(crate) workers: Vec<Worker>,
     pub(crate) by_agent: Table<String, WorkerId>,
     pub(crate) jobs: Table<JobId, LiveJob>,
@@ -94,14 +93,14 @@
     pub(crate) last_run: u64,
     pub(crate) ranked: Millis,
     pub(crate) searched: Millis,
+    pub(crate) guards: Guards,
 }
 
 impl Dispatcher {
     /// A dispatcher without jobs.
-    pub(crate) fn new(reign: Reign, hold: Millis, now: Millis) -> Self {
+    pub(crate) fn new(reign: Reign, now: Millis) -> Self {
         Self {
             reign,
-            hold,
             workers: Vec::new(),
             by_agent: Table::default(),
             jobs: Table::default(),
@@ -114,12 +113,14 @@
             last_run: 0,
             ranked: now,
             searched: now,
+            guards: Guards::default(),
         }
     }
 
     /// Takes up all jobs of the book at the start of a term.
-    pub(crate) fn take_over(term: Term, hold: Millis, book: &Book, now: Millis) -> Self {
-        let mut new = Self::new(Reign::Group(term), hold, now);
+    pub(crate) fn take_over(term: Term, book: &Book, now: Millis, guards: &Guards) -> Self {
+        let mut new = Self::new(Reign::Group(term), now);
+        new.guards = guards.clone();
         new.awaited.clone_from(&book.agents);
         new.await_until = now + new.lapse();
         for (id, job) in book.jobs.iter() {
@@ -143,14 +144,18 @@
 
     /// After so long without a grant a worker runs nothing.
     pub(crate) fn lapse(&self) -> Millis {
-        let hold = self.hold.0;
-        self.reign.grant() + Millis(hold + hold * DRIFT_PERCENT / 100) + LAPSE_MARGIN
+        if !self.guards.on(JobGuard::Lapse) {
+            return Millis(0);
+        }
+        let grant = self.reign.grant();
+        grant + Millis(grant.0 * DRIFT_PERCENT / 100) + LAPSE_MARGIN
     }
 
     /// Makes the tasks of unknown state startable once no unheard agent can hold
     /// them.
     pub(crate) fn settle_awaited(&mut self, now: Millis) {
-        if !self.awaited.is_empty() && now < self.await_until {
+        let early = now < self.await_until && self.guards.on(JobGuard::Inventory);
+        if !self.awaited.is_empty() && early {
             return;
         }
         if !self.awaited.is_empty() {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! touches a disk, a socket or a clock.
 
 pub(crate) mod agent;
+pub(crate) mod agent_calls;
 pub(crate) mod agent_replies;
 pub(crate) mod agent_ticks;
 pub(crate) mod book;
@@ -13,6 +14,7 @@
 pub(crate) mod demand;
 pub(crate) mod desk;
 pub(crate) mod dispatcher;
+pub(crate) mod guard;
 pub(crate) mod held;
 pub(crate) mod live;
 pub(crate) mod news;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -9,6 +9,7 @@
 use super::book::{Book, Change, Entry, Job};
 use super::call::{Call, Reply, Want};
 use super::dispatcher::{DispatchOutput, Dispatcher, GROUP_GRANT};
+use super::guard::{Guards, JobGuard};
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, Setup, State, Terms};
 use super::waiter::{Origin, Waiter, answer, settle};
@@ -75,8 +76,6 @@
 /// Times that the users' settings give.
 #[derive(Debug, Clone, Copy)]
 pub struct ReplicaTimes {
-    /// Longest lease of a backend server.
-    pub hold: Millis,
     /// How long an outcome is kept.
     pub keep: Millis,
 }
@@ -101,6 +100,7 @@
     pub(crate) told_out: Option<Vec<String>>,
     pub(crate) told_setup: Option<u64>,
     pub(crate) told_entries: Vec<u64>,
+    pub(crate) guards: Guards,
 }
 
 impl Replica {
@@ -125,9 +125,15 @@
             told_out: None,
             told_setup: None,
             told_entries: Vec::new(),
+            guards: Guards::default(),
         })
     }
 
+    /// Turns a rule off, so that a checker can show that it is needed.
+    pub fn disable(&mut self, guard: JobGuard) {
+        self.guards.disable(guard);
+    }
+
     /// The replicated log.
     #[must_use]
     pub fn raft(&self) -> &Raft {
@@ -218,7 +224,7 @@
             return;
         }
         events::LEADER.log(format_args!("leads=true term={}", term.0));
-        let mut lead = Dispatcher::take_over(term, self.times.hold, &self.book, now);
+        let mut lead = Dispatcher::take_over(term, &self.book, now, &self.guards);
         for (session, who) in self.sessions.iter() {
             if let Who::Agent(name) = who {
                 let _ = lead.connected(now, name, *session);
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -2,6 +2,7 @@
 
 use super::book::{Book, End, Entry};
 use super::dispatcher::{DispatchOutput, Dispatcher, RUN_LEAP, Reign};
+use super::guard::JobGuard;
 use super::live::{LiveJob, Phase};
 use super::spec::{Ending, Resources, Run, TaskId};
 use super::wire::{Denial, Down, Order, Report, Server};
@@ -326,9 +327,13 @@
                 record.push(*end);
             }
         }
-        if record.is_empty() {
+        if !self.guards.on(JobGuard::Record) {
+            self.workers[id.0].forget_records();
+        }
+        if record.is_empty() || !self.guards.on(JobGuard::Record) {
             tell_recorded(&self.workers[id.0], out);
-        } else {
+        }
+        if !record.is_empty() {
             out.push(DispatchOutput::Propose(Entry::Ends(record)));
         }
     }
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -199,6 +199,11 @@
         before != self.recording.len()
     }
 
+    /// Takes all ends as recorded.
+    pub(crate) fn forget_records(&mut self) {
+        self.recording.clear();
+    }
+
     /// All ends up to this number need no reporting any more.
     pub(crate) fn recorded_upto(&self) -> u64 {
         match self.recording.first() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 pub use crate::dispatch::boss::Owner;
 pub use crate::dispatch::call::{Call, Reply as CallReply, Want};
 pub use crate::dispatch::desk::{Desk, DeskInput, DeskOutput, LinkId};
+pub use crate::dispatch::guard::JobGuard;
 pub use crate::dispatch::replica::{
     Replica, ReplicaError, ReplicaInput, ReplicaOutput, ReplicaTimes,
 };
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -46,8 +46,6 @@
     pub address: SocketAddrV4,
     /// Control instances to ask first.
     pub seeds: Vec<SocketAddrV4>,
-    /// Longest lease of a backend server.
-    pub hold: Millis,
 }
 
 /// A running entry.
@@ -81,7 +79,7 @@
                 cfg.seeds,
                 link_tx,
             ),
-            desk: Desk::new(life, cfg.hold, clock.now()),
+            desk: Desk::new(life, clock.now()),
             sessions: Outgoing::default(),
             clock,
             callers: Table::default(),
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -9,9 +9,9 @@
 use std::sync::Arc;
 
 use fulmardrift::{
-    AgentTimes, Call, CallId, CallReply, Desk, DeskInput, DeskOutput, Down, JobId, JobSpec, Millis,
-    Owner, Queue, Resources, ServerAgent, ServerAgentInput, ServerAgentOutput, ServerCall,
-    ServerReply, SessionId, Setup, Step, Terms, Up, Want, Who,
+    AgentTimes, Call, CallId, CallReply, Desk, DeskInput, DeskOutput, Down, JobGuard, JobId,
+    JobSpec, Millis, Owner, Queue, Resources, ServerAgent, ServerAgentInput, ServerAgentOutput,
+    ServerCall, ServerReply, SessionId, Setup, Step, Terms, Up, Want, Who,
 };
 
 use super::server::{FakeServer, Span};
@@ -67,6 +67,8 @@
     up: VecDeque<(Millis, SessionId, Up)>,
     calls: VecDeque<(Millis, usize, ServerCall)>,
     last: u64,
+    /// Rules that are turned off.
+    off: Vec<JobGuard>,
 }
 
 pub fn setup(version: u64) -> Setup {
@@ -122,6 +124,11 @@
 impl Fleet {
     /// Entries and agents that know each other, with a configuration in force.
     pub fn new(entries: usize, agents: usize, work: u64) -> Self {
+        Self::without(entries, agents, work, &[])
+    }
+
+    /// A fleet in which some rules are turned off.
+    pub fn without(entries: usize, agents: usize, work: u64, off: &[JobGuard]) -> Self {
         let mut fleet = Self {
             now: Millis(1),
             entries: Vec::new(),
@@ -134,6 +141,7 @@
             up: VecDeque::new(),
             calls: VecDeque::new(),
             last: 0,
+            off: off.to_vec(),
         };
         for _ in 0..entries {
             fleet.entries.push(EntrySlot {
@@ -144,8 +152,9 @@
             });
         }
         for at in 0..agents {
+            let agent = fleet.fresh_agent();
             fleet.agents.push(AgentSlot {
-                agent: ServerAgent::new(AgentTimes { hold: HOLD }),
+                agent,
                 server: FakeServer::new(&format!("s{at}"), &format!("dc{at}"), Millis(work)),
                 frozen: false,
                 late: None,
@@ -160,10 +169,21 @@
         fleet
     }
 
+    fn fresh_agent(&self) -> ServerAgent {
+        let mut agent = ServerAgent::new(AgentTimes { hold: HOLD });
+        for guard in &self.off {
+            agent.disable(*guard);
+        }
+        agent
+    }
+
     pub fn start_entry(&mut self, entry: usize) {
         self.last += 1;
         let life = 1_000 + self.last;
-        let mut desk = Desk::new(life, HOLD, self.now);
+        let mut desk = Desk::new(life, self.now);
+        for guard in &self.off {
+            desk.disable(*guard);
+        }
         let mut out = Vec::new();
         desk.step(self.now, DeskInput::Setup(Arc::new(setup(1))), &mut out);
         self.entries[entry].desk = Some(desk);
@@ -187,7 +207,7 @@
 
     /// Restarts an agent's process; its backend server runs on.
     pub fn restart_agent(&mut self, agent: usize) {
-        self.agents[agent].agent = ServerAgent::new(AgentTimes { hold: HOLD });
+        self.agents[agent].agent = self.fresh_agent();
         self.agents[agent].inbox.clear();
         let gone: Vec<_> = self
             .sessions
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -17,7 +17,6 @@
 use server::FakeServer;
 
 const TIMES: ReplicaTimes = ReplicaTimes {
-    hold: HOLD,
     keep: Millis(120_000),
 };
 const TIMING: RaftTiming = RaftTiming {
