Unanswered starts outlive neither agent nor backend server

Cause, found by the model of fault schedules: a start without an answer may still be carried out.

Change: runs that the present life never listed are stopped at the next one before the old life is given up; unanswered starts are stopped again at each new life for 15 s; a dispatcher has a start sealed that the agent's inventory lacks and that was never reported as started.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -7,7 +7,7 @@
 
 use super::boss::{Boss, Owner};
 use super::guard::{Guards, JobGuard};
-use super::held::{Held, HeldEnd};
+use super::held::{Held, HeldEnd, Phase};
 use super::server_call::{Beat, CallId, ServerCall, ServerReply};
 use super::spec::{Resources, Run, TaskId};
 use super::wire::{Denial, Order, Report, Server};
@@ -79,6 +79,11 @@
     pub(crate) times: AgentTimes,
     pub(crate) server: Option<Server>,
     pub(crate) sequence: u64,
+    // The backend server's next life, while starts may still reach it that were
+    // meant for this one.
+    pub(crate) next_life: Option<Beat>,
+    // Starts without an answer, with the time of each: they may still arrive.
+    pub(crate) unanswered: Vec<(Millis, TaskId, Run)>,
     // The latest leader's term, and the least token that the backend server takes.
     pub(crate) term: Term,
     pub(crate) floor: u64,
@@ -119,6 +124,8 @@
             times,
             server: None,
             sequence: 0,
+            next_life: None,
+            unanswered: Vec::new(),
             term: Term(0),
             floor: 0,
             looked: None,
@@ -200,6 +207,10 @@
             if life < known.life || (same && beat.sequence <= self.sequence) {
                 return;
             }
+            if !same && known.id == beat.id && !self.is_sealed(now, &[], out) {
+                self.next_life = Some(beat);
+                return;
+            }
             if !same {
                 self.lose_server("replaced", out);
             }
@@ -228,6 +239,7 @@
                 boss.told = false;
             }
             self.look(now, Millis(0), out);
+            self.stop_unanswered(now, out);
         } else {
             self.tell_told(&Report::Server(Some(server)), out);
         }
@@ -258,6 +270,30 @@
         }
     }
 
+    /// True when no start that was meant for the present life of the backend server
+    /// can run in its next one, which has the same name. Starts that the present
+    /// life has not listed are stopped there first: a run that was stopped is never
+    /// started later.
+    pub(crate) fn is_sealed(
+        &mut self,
+        now: Millis,
+        running: &[(TaskId, Run)],
+        out: &mut Vec<AgentOutput>,
+    ) -> bool {
+        let mut open = Vec::new();
+        for (key, held) in self.runs.iter().filter(|(_, held)| !held.listed) {
+            if held.phase != Phase::Stopped || running.contains(key) {
+                open.push((*key, held.phase));
+            }
+        }
+        for (key, phase) in &open {
+            if *phase != Phase::Stopping {
+                self.stop(now, *key, out);
+            }
+        }
+        open.is_empty()
+    }
+
     /// Reports to all dispatchers that have the agent's inventory.
     pub(crate) fn tell_told(&self, report: &Report, out: &mut Vec<AgentOutput>) {
         for (owner, _) in self.bosses.iter().filter(|(_, boss)| boss.told) {
@@ -406,6 +442,11 @@
                 self.others_due = true;
                 self.call_start(now, task, run, payload, out);
             }
+            Order::Seal { task, run } => {
+                let unknown = || Held::starting(owner, Resources::default(), now);
+                self.runs.or_insert_with((task, run), unknown);
+                self.stop(now, (task, run), out);
+            }
             Order::Stop { task, run } => self.stop(now, (task, run), out),
         }
     }
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -17,6 +17,9 @@
 const DRIFT_PERCENT: u64 = 2;
 /// Added to a lease before it counts as lapsed: one hop on the same machine.
 const LAPSE_MARGIN: Millis = Millis(50);
+/// A call without an answer is carried out within this, if at all: seconds, by the
+/// users' protocol.
+const LATE_WITHIN: Millis = Millis(15_000);
 
 impl Agent {
     pub(crate) fn call_start(
@@ -86,6 +89,16 @@
         self.leased = self.leased.max(now + length + drift + LAPSE_MARGIN);
     }
 
+    /// Stops what a former life of the backend server was asked to start: a new one
+    /// knows of no stop before it, and carries such a start out when it comes late.
+    pub(crate) fn stop_unanswered(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        self.unanswered
+            .retain(|(at, ..)| now.since(*at) < LATE_WITHIN);
+        for (_, task, run) in self.unanswered.clone() {
+            self.call_stop(task, run, out);
+        }
+    }
+
     pub(crate) fn call_stop(&mut self, task: TaskId, run: Run, out: &mut Vec<AgentOutput>) {
         let kind = ServerCallKind::Stop { task, run };
         self.call(Pending::Stop(task, run), kind, out);
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -81,6 +81,7 @@
             }
             ServerReply::Silent | ServerReply::Stopped | ServerReply::Held(_) => {
                 events::START_UNANSWERED.log(format_args!("task={} run={}", key.0, key.1.0));
+                self.unanswered.push((now, key.0, key.1));
                 if held.phase == Phase::Starting {
                     held.enter(Phase::Doubt, now);
                 }
@@ -123,7 +124,17 @@
         };
         let life = self.life();
         if lists.born.is_some_and(|born| born != life && life > 1) {
-            self.lose_server("another life answered", out);
+            let running = lists.running.iter().map(|(task, run, _)| (*task, *run));
+            let running: Vec<_> = running.collect();
+            if self.is_sealed(now, &running, out) {
+                self.stop_unanswered(now, out);
+                self.lose_server("another life answered", out);
+                if let Some(beat) = self.next_life.take() {
+                    self.on_beat(now, beat, out);
+                }
+            } else {
+                self.next_hold = now + HOLD_PAUSE;
+            }
             return;
         }
         self.answered = now;
@@ -197,6 +208,7 @@
             let held = self.runs.or_insert_with(key, || Held::found(*run, now));
             held.percent = *percent;
             held.answered = true;
+            held.listed = true;
             if matches!(held.phase, Phase::Starting | Phase::Doubt) {
                 held.enter(Phase::Running, now);
                 started.push((key, held.owner));
--- a/src/dispatch/held.rs
+++ b/src/dispatch/held.rs
@@ -36,6 +36,8 @@
     pub(crate) percent: u32,
     /// The backend server is known to have started it.
     pub(crate) answered: bool,
+    /// It was seen in a list of this life of the backend server.
+    pub(crate) listed: bool,
     /// An earlier life of the agent started it. Its lease ends soon unless its
     /// dispatcher grants more.
     pub(crate) found: bool,
@@ -50,6 +52,7 @@
             at: now,
             percent: 0,
             answered: false,
+            listed: false,
             found: false,
         }
     }
@@ -63,6 +66,7 @@
             at: now,
             percent: 0,
             answered: true,
+            listed: true,
             found: true,
         }
     }
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -147,7 +147,9 @@
         ));
         let agent = worker.agent.clone();
         for key in gone {
-            self.lose(now, id, key);
+            if !self.seal(id, key, out) {
+                self.lose(now, id, key);
+            }
         }
         for key in runs {
             self.adopt(now, id, *key, out);
@@ -217,6 +219,26 @@
         }
     }
 
+    /// An agent that started anew does not know of a start without an answer, which
+    /// may still arrive; true when it has to be prevented first.
+    fn seal(&mut self, id: WorkerId, key: (TaskId, Run), out: &mut Vec<DispatchOutput>) -> bool {
+        let worker = &mut self.workers[id.0];
+        let (Some(session), true) = (worker.session, worker.server.is_some()) else {
+            return false;
+        };
+        let Some(placed) = worker.runs.get_mut(&key) else {
+            return false;
+        };
+        if placed.started.is_some() {
+            return false;
+        }
+        placed.stopping = true;
+        let (task, run) = key;
+        let order = Order::Seal { task, run };
+        out.push(DispatchOutput::Down(session, Down::Order(order)));
+        true
+    }
+
     /// A run is gone with its worker, or with what the agent knew of it.
     fn lose(&mut self, now: Millis, id: WorkerId, key: (TaskId, Run)) {
         if let Some(job) = self.jobs.get_mut(&key.0.job) {
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -101,6 +101,14 @@
         /// Handed to the backend server.
         payload: String,
     },
+    /// Make sure that a run which the agent does not hold never starts: its order or
+    /// the answer to it was lost.
+    Seal {
+        /// The task.
+        task: TaskId,
+        /// Its run.
+        run: Run,
+    },
     /// Stop a run.
     Stop {
         /// The task.
