An agent that does not know its server yet does not call it empty

Change: without a server, a new life of an agent gives no inventory before the longest lease has passed.

Ruled out: ends lost by the new leader; it recorded them when they came.

Test: loose_jobs::an_agent_that_does_not_know_its_server_yet_does_not_call_it_empty, failed before for loose jobs as well.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -5,6 +5,7 @@
 //! agent the right to act for it for a short time; when that lapses, its runs are
 //! stopped.
 
+use super::agent_calls::longest_lease;
 use super::boss::{Boss, Owner};
 use super::guard::{Guards, JobGuard};
 use super::held::{Held, HeldEnd, Phase};
@@ -113,6 +114,10 @@
     pub(crate) progress: Millis,
     pub(crate) others_told: Millis,
     pub(crate) others_due: bool,
+    // Until when an earlier life of this agent may have left runs with a lease, at
+    // a backend server that has not announced itself yet.
+    pub(crate) blind_until: Option<Millis>,
+    pub(crate) blind: bool,
     pub(crate) guards: Guards,
 }
 
@@ -148,6 +153,8 @@
             progress: Millis(0),
             others_told: Millis(0),
             others_due: false,
+            blind_until: None,
+            blind: true,
             guards: Guards::default(),
         }
     }
@@ -161,6 +168,7 @@
     pub fn step(&mut self, now: Millis, input: AgentInput, out: &mut Vec<AgentOutput>) {
         // A process that was suspended wakes with a lease that has run out.
         self.give_up_lapsed(now, out);
+        self.note_blind(now, out);
         match input {
             AgentInput::Beat(beat) => self.on_beat(now, beat, out),
             AgentInput::Left(id) => {
@@ -196,6 +204,15 @@
         self.tell_others(now, out);
     }
 
+    fn note_blind(&mut self, now: Millis, out: &mut Vec<AgentOutput>) {
+        let lease = longest_lease(self.times.hold);
+        let until = *self.blind_until.get_or_insert(now + lease);
+        if self.blind && now >= until {
+            self.blind = false;
+            self.tell_all(out);
+        }
+    }
+
     pub(crate) fn life(&self) -> u64 {
         self.server.as_ref().map_or(0, |s| s.life)
     }
@@ -367,8 +384,9 @@
         let mut due = Vec::new();
         for (owner, boss) in self.bosses.iter() {
             let looked = match owner {
-                // Without a backend server there is nothing to look at.
-                _ if self.server.is_none() => true,
+                // Without a backend server there is nothing to look at, unless it
+                // just has not announced itself to this life of the agent.
+                _ if self.server.is_none() => !self.blind,
                 Owner::Group => self.looked == Some((self.life(), self.term)),
                 _ => self.looked.is_some_and(|(life, _)| life == self.life()),
             };
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -85,8 +85,7 @@
 
     /// Notes that a lease of this length is given now.
     pub(crate) fn note_lease(&mut self, now: Millis, length: Millis) {
-        let drift = Millis(length.0 * DRIFT_PERCENT / 100);
-        self.leased = self.leased.max(now + length + drift + LAPSE_MARGIN);
+        self.leased = self.leased.max(now + longest_lease(length));
     }
 
     /// Stops what a former life of the backend server was asked to start: a new one
@@ -156,3 +155,8 @@
         self.call(pending, kind, out);
     }
 }
+
+/// How long a lease of this length may last on the agent's clock.
+pub(crate) fn longest_lease(length: Millis) -> Millis {
+    length + Millis(length.0 * DRIFT_PERCENT / 100) + LAPSE_MARGIN
+}
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -69,6 +69,8 @@
     last: u64,
     /// Rules that are turned off.
     off: Vec<JobGuard>,
+    /// Between announcements of a backend server; a multiple of a heartbeat.
+    pub announce: u64,
 }
 
 pub fn setup(version: u64) -> Setup {
@@ -142,6 +144,7 @@
             calls: VecDeque::new(),
             last: 0,
             off: off.to_vec(),
+            announce: BEAT,
         };
         for _ in 0..entries {
             fleet.entries.push(EntrySlot {
@@ -205,8 +208,16 @@
         }
     }
 
-    /// Restarts an agent's process; its backend server runs on.
+    /// Restarts an agent's process; its backend server runs on and announces itself
+    /// at once.
     pub fn restart_agent(&mut self, agent: usize) {
+        self.restart_agent_unannounced(agent);
+        let beat = self.agents[agent].server.beat();
+        self.agent_input(agent, ServerAgentInput::Beat(beat));
+    }
+
+    /// Restarts an agent's process; its backend server announces itself later.
+    pub fn restart_agent_unannounced(&mut self, agent: usize) {
         self.agents[agent].agent = self.fresh_agent();
         self.agents[agent].inbox.clear();
         let gone: Vec<_> = self
@@ -220,8 +231,6 @@
         for session in gone {
             self.desk_input(session.entry, DeskInput::Closed(session.id));
         }
-        let beat = self.agents[agent].server.beat();
-        self.agent_input(agent, ServerAgentInput::Beat(beat));
     }
 
     pub fn wake(&mut self, agent: usize) {
@@ -434,6 +443,9 @@
 
     fn beat(&mut self) {
         for agent in 0..self.agents.len() {
+            if !self.now.0.is_multiple_of(self.announce) {
+                break;
+            }
             let beat = self.agents[agent].server.beat();
             self.agent_input(agent, ServerAgentInput::Beat(beat));
         }
--- a/tests/loose_jobs.rs
+++ b/tests/loose_jobs.rs
@@ -125,6 +125,20 @@
     assert_eq!(fleet.spans().len(), 3, "nothing was started again");
 }
 
+#[test]
+fn an_agent_that_does_not_know_its_server_yet_does_not_call_it_empty() {
+    for wait in [20, 100, 240, 400, 600] {
+        let mut fleet = Fleet::new(1, 2, 3_000);
+        fleet.announce = 1_500;
+        fleet.call(0, 1, submit(JobId(7), job(4, 3_000, true)), 9_000);
+        fleet.run(wait);
+        fleet.restart_agent_unannounced(0);
+        fleet.run(8_000);
+        assert_eq!(fleet.overlaps(), [], "restarted after {wait} ms");
+        assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    }
+}
+
 #[test]
 fn a_start_carried_out_late_is_refused() {
     let mut fleet = Fleet::new(1, 2, 100);
