Refusals log their answer; a checker's switch without a test is gone

Cause, found on reading the change: E611 named no outcome, though it is written for jobs that may have run too, and its description said that nothing ran. The switch for the wait of a new leader was used by no test.

Change: E611 has the reply; the switch is removed, the rule stays.

--- a/src/dispatch/desk.rs
+++ b/src/dispatch/desk.rs
@@ -458,15 +458,15 @@
         }
         for (token, waited) in hopeless {
             if let Some(open) = self.open.remove(&token) {
-                events::REFUSED.log(format_args!(
-                    "call={token} way={:?} waited_ms={}",
-                    open.way, waited.0
-                ));
                 let reply = match open.way {
                     Way::Parked(_) => Reply::NoSetup,
                     Way::Local(id) if self.dispatcher.may_have_run(id) => Reply::Unknown,
                     _ => Reply::Refused(RETRY_AFTER),
                 };
+                events::REFUSED.log(format_args!(
+                    "call={token} way={:?} waited_ms={} reply={reply:?}",
+                    open.way, waited.0
+                ));
                 self.leave(now, token, &open);
                 out.push(DeskOutput::Answer(token, reply));
             }
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -154,8 +154,7 @@
     /// Makes the tasks of unknown state startable once no unheard agent can hold
     /// them.
     pub(crate) fn settle_awaited(&mut self, now: Millis) {
-        let early = now < self.await_until && self.guards.on(JobGuard::Inventory);
-        if !self.awaited.is_empty() && early {
+        if !self.awaited.is_empty() && now < self.await_until {
             return;
         }
         if !self.awaited.is_empty() {
--- a/src/dispatch/guard.rs
+++ b/src/dispatch/guard.rs
@@ -12,8 +12,6 @@
     Seal,
     /// A silent worker's runs count as over only after grant and lease.
     Lapse,
-    /// A new leader starts nothing that an unheard agent may still run.
-    Inventory,
     /// A backend server may forget an end only once it is on record.
     Record,
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -105,7 +105,7 @@
     ORDERED = 609 Info "ordered";
     /// A job is accepted and stored.
     ACCEPTED = 610 Info "accepted";
-    /// A job was refused; nothing of it has run.
+    /// A job or call was given up; the reply says whether it may have run.
     REFUSED = 611 Info "refused";
     /// A caller cancelled a job.
     CANCELLED = 612 Info "cancelled";
