Exchange a control instance that is gone instead of growing the group

Cause: a newcomer became a further voter while the one that was gone stayed a voter, and a silent voter made place only after 12 s and only for yet another newcomer. Four voters with one gone need three, so the next lost disk ended the group for good.

Change: the number of voters follows a stated target (configured instances; on the users' platform twice the tolerated losses and one). A newcomer that has caught up and still answers takes the place of a voter that was silent for 2 s, first out, then in. An even number of voters drops a silent one, and a group above its target shrinks, without a newcomer. A replica with a log that does not vote announces itself when it hears from no leader. Each change of the voters is logged (E305).

Ruled out: joint majorities. Three voters with one gone need the same two replicas as those two alone, so the state between the two changes is no worse (docs/design/control.md).

The way out for operators when a majority of the disks is truly gone is not part of this change.

--- a/src/control/join.rs
+++ b/src/control/join.rs
@@ -5,12 +5,13 @@
 use crate::core::clock::Millis;
 
 impl Raft {
-    /// Lets replicas join that are not among the configured peers. Only a `founder` may found a
-    /// group.
+    /// Lets replicas join that are not among the configured peers, until the group has `target`
+    /// voters; from then on they replace voters that are gone. Only a `founder` may found a group.
     #[must_use]
-    pub fn allow_joining(mut self, founder: bool) -> Self {
+    pub fn allow_joining(mut self, founder: bool, target: usize) -> Self {
         self.joining_allowed = true;
         self.founder = founder;
+        self.target_size = target;
         self
     }
 
--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -55,6 +55,19 @@
     pub disk: DiskId,
 }
 
+impl std::fmt::Display for Voter {
+    /// Writes the id and the disk, as in `3@9f02`.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}@{:x}", self.id.0, self.disk.0)
+    }
+}
+
+/// The voters as a log line names them.
+pub(crate) fn list_voters(voters: &[Voter]) -> String {
+    let names: Vec<String> = voters.iter().map(Voter::to_string).collect();
+    names.join(",")
+}
+
 /// The content of a log entry.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Payload {
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -85,6 +85,10 @@
     /// The wait after a restart is skipped only when all voters have restarted and heard from no
     /// leader.
     AllLeaderless,
+    /// The number of voters stays at the target size: a newcomer replaces a silent voter.
+    TargetSize,
+    /// Only a newcomer that still answers becomes a voter.
+    LiveNewcomer,
 }
 
 /// What a leader knows about a peer's log.
@@ -162,6 +166,8 @@
     pub(crate) joining_allowed: bool,
     // Whether this replica may found a group.
     pub(crate) founder: bool,
+    // Number of voters that the group should have.
+    pub(crate) target_size: usize,
 }
 
 /// The durable state that a replica starts from, as read from its data directory.
@@ -200,6 +206,7 @@
         now: Millis,
         seed: u64,
     ) -> Self {
+        let target_size = peers.len() + 1;
         let mut raft = Self {
             id,
             disk: durable.disk,
@@ -231,6 +238,7 @@
             disabled_guards: Vec::new(),
             joining_allowed: false,
             founder: true,
+            target_size,
         };
         for record in durable.records {
             raft.replay(record);
@@ -346,7 +354,9 @@
         match self.role {
             RaftRole::Leader => self.leader_tick(now, out),
             RaftRole::Follower | RaftRole::PreCandidate | RaftRole::Candidate => {
-                if now >= self.election_due_at && self.is_voter() && !self.stopping {
+                if !self.is_voter() {
+                    self.announce_non_voter(now, out);
+                } else if now >= self.election_due_at && !self.stopping {
                     self.start_pre_vote(now, out);
                 }
             }
--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -5,20 +5,19 @@
 //! and has confirmed this to the current disk of the founding replica. In an existing group a
 //! replica with a new disk first catches up. Then one log entry removes its former disk from the
 //! voters and a second one adds the new disk, so that the majorities before and after each step
-//! overlap.
+//! overlap. A silent voter makes place for another replica in the same way. The number of voters
+//! does not exceed the target size.
 
 use super::log::{DiskId, Index, LogEntry, Payload, Position, Term, Voter};
 use super::message::Body;
-use super::raft::{Raft, RaftOutput};
+use super::raft::{Raft, RaftGuard, RaftOutput};
 use crate::core::clock::Millis;
 
 /// A replica has caught up when it lacks at most this many entries.
 const MAX_CATCH_UP_LAG: u64 = 64;
-/// Maximum number of voters; each further one slows down commits.
-const MAX_VOTERS: usize = 5;
-/// A joining replica may replace a voter that was silent for longer than this; a restart takes
-/// less.
-const SILENT_AFTER: Millis = Millis(12_000);
+/// A replica that has caught up may replace a voter that was silent for longer than this. Short, as
+/// the group bears no second loss meanwhile; a voter replaced in error joins again as a newcomer.
+const SILENT_AFTER: Millis = Millis(2_000);
 
 impl Raft {
     /// Regular work of a replica with an empty log: announces itself to all peers.
@@ -164,53 +163,85 @@
         );
     }
 
-    /// Proposes the next change of the voters for a replica that has caught up with a new disk.
+    /// Proposes the next change of the voters, one at a time.
     pub(crate) fn update_voters(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
-        let (voters, changed_at) = self.log.voters();
+        let (_, changed_at) = self.log.voters();
         if changed_at > self.commit_index || self.commit_index < self.term_start || self.stopping {
             // Only one change at a time, and only after an entry of the current term is committed.
             return;
         }
-        let last = self.log.last().index.0;
-        let newcomers = self.progress.iter().filter_map(|(id, p)| {
-            let voter = Voter {
-                id: *id,
-                disk: p.disk?,
-            };
-            let caught_up = p.matched.0 > 0 && p.matched.0 + MAX_CATCH_UP_LAG >= last;
-            (caught_up && !voters.contains(&voter)).then_some(voter)
-        });
-        let proposal = newcomers
-            .into_iter()
-            .find_map(|newcomer| self.next_voters(now, newcomer));
-        let Some(voters) = proposal else {
-            return;
-        };
-        self.append_own(now, vec![Payload::Voters(voters)], out);
+        if let Some(voters) = self.next_voters(now) {
+            self.append_own(now, vec![Payload::Voters(voters)], out);
+        }
     }
 
-    /// The voters after the next step towards adding `newcomer`. The first step removes its own
-    /// former disk or a voter that has been silent for too long; the next one adds it.
-    fn next_voters(&self, now: Millis, newcomer: Voter) -> Option<Vec<Voter>> {
+    /// The voters after the next change, if one is due. A voter is replaced in two changes, first
+    /// out, then in. The voters that remain are no worse off in between: the majority of an odd
+    /// number of voters, one of them gone, is as many replicas as that of the others alone.
+    fn next_voters(&self, now: Millis) -> Option<Vec<Voter>> {
         let (voters, _) = self.log.voters();
+        let newcomers = self.newcomers(now);
+        let former_disk = |v: &&Voter| newcomers.iter().any(|newcomer| newcomer.id == v.id);
+        let removed = voters
+            .iter()
+            .find(former_disk)
+            .copied()
+            .or_else(|| self.dispensable_voter(now, !newcomers.is_empty()));
         let mut next = voters.to_vec();
-        next.retain(|v| v.id != newcomer.id);
-        if next.len() < voters.len() {
+        if let Some(removed) = removed {
+            next.retain(|v| *v != removed);
             return Some(next);
         }
-        if let Some(silent) = self.silent_voter(now) {
-            next.retain(|v| *v != silent);
-            return Some(next);
+        let room = if self.is_enabled(RaftGuard::TargetSize) {
+            self.target_size
+        } else {
+            usize::MAX
+        };
+        let newcomer = newcomers.first().filter(|_| voters.len() < room)?;
+        next.push(*newcomer);
+        next.sort_unstable();
+        Some(next)
+    }
+
+    /// Replicas that have caught up, answer, and do not vote with their current disk.
+    fn newcomers(&self, now: Millis) -> Vec<Voter> {
+        let (voters, _) = self.log.voters();
+        let last = self.log.last().index.0;
+        let mut newcomers = Vec::new();
+        for (id, progress) in self.progress.iter() {
+            let Some(disk) = progress.disk else {
+                continue;
+            };
+            let voter = Voter { id: *id, disk };
+            let caught_up = progress.matched.0 > 0 && progress.matched.0 + MAX_CATCH_UP_LAG >= last;
+            let answers = !self.is_enabled(RaftGuard::LiveNewcomer)
+                || progress
+                    .echoed_time
+                    .is_some_and(|at| now.since(at) <= self.timing.election);
+            if caught_up && answers && !voters.contains(&voter) {
+                newcomers.push(voter);
+            }
         }
-        if next.len() >= MAX_VOTERS {
+        newcomers
+    }
+
+    /// The voter to remove, if the group is better off without it: a silent one when a newcomer can
+    /// take its place or when the number of voters is even, and any one above the target size.
+    fn dispensable_voter(&self, now: Millis, replaceable: bool) -> Option<Voter> {
+        if !self.is_enabled(RaftGuard::TargetSize) {
             return None;
         }
-        next.push(newcomer);
-        next.sort_unstable();
-        Some(next)
+        let (voters, _) = self.log.voters();
+        let silent = self.silent_voter(now);
+        if voters.len() > self.target_size {
+            return silent.or_else(|| self.last_other_voter());
+        }
+        let majority = self.target_size / 2 + 1;
+        let even = voters.len().is_multiple_of(2);
+        silent.filter(|_| voters.len() > majority && (even || replaceable))
     }
 
-    /// A voter that has been silent for longer than [`SILENT_AFTER`], where replicas may join.
+    /// A voter that has not answered for longer than [`SILENT_AFTER`].
     fn silent_voter(&self, now: Millis) -> Option<Voter> {
         let voters = self.log.voters().0.iter();
         voters.copied().find(|voter| {
@@ -218,7 +249,30 @@
             let last_heard_at = progress
                 .and_then(|p| p.echoed_time)
                 .unwrap_or(self.last_heard_at);
-            voter.id != self.id && self.joining_allowed && now.since(last_heard_at) > SILENT_AFTER
+            voter.id != self.id && now.since(last_heard_at) > SILENT_AFTER
         })
     }
+
+    /// The voter with the highest id other than this replica.
+    fn last_other_voter(&self) -> Option<Voter> {
+        let voters = self.log.voters().0.iter();
+        voters.copied().rfind(|voter| voter.id != self.id)
+    }
+
+    /// Announces a replica that has a log and does not vote, when it hears from no leader: a leader
+    /// that started later may not know it.
+    pub(crate) fn announce_non_voter(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
+        let silence = now.since(self.last_heard_at.max(self.last_heartbeat_at));
+        if silence < self.timing.election {
+            return;
+        }
+        self.last_heartbeat_at = now;
+        for to in self.peers.clone() {
+            let body = Body::Hello {
+                empty: false,
+                known_disk: None,
+            };
+            self.send(to, body, out);
+        }
+    }
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -55,6 +55,8 @@
     CHANGED = 303 Info "changed";
     /// A change of settings was refused.
     CHANGE_REFUSED = 304 Warn "change-refused";
+    /// The voters of a control group have changed.
+    VOTERS = 305 Info "voters";
     /// An entry has connected to an agent.
     LINK_UP = 400 Debug "link-up";
     /// An entry's connection to an agent is closed or silent.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -87,6 +87,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// True at the very first start of the system; ignored unless `seeds` includes this instance.
     pub founder: bool,
+    /// Number of instances that may be lost, with their disks, at the same time.
+    pub tolerated_losses: usize,
     /// The data directory.
     pub data: PathBuf,
     /// Time limits from the users' settings.
@@ -135,8 +137,9 @@
         let founder = cfg.founder && seed_ids.contains(&own_id);
         let peers = seed_ids.into_iter().filter(|id| *id != own_id).collect();
         let seed = rand::rng().random();
-        let raft =
-            Raft::new(own_id, peers, TIMING, durable, clock.now(), seed).allow_joining(founder);
+        let target_size = cfg.seeds.len().max(2 * cfg.tolerated_losses + 1);
+        let raft = Raft::new(own_id, peers, TIMING, durable, clock.now(), seed)
+            .allow_joining(founder, target_size);
         let replica = Replica::new(raft, cfg.times).map_err(|e| ControlStartError::DataState {
             message: e.to_string(),
         })?;
--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -46,6 +46,9 @@
     pub answers: BTreeMap<RequestId, ControlAnswer>,
     /// Safety rules that are turned off.
     pub disabled_guards: Vec<RaftGuard>,
+    /// Where other instances may join: those that founded the group, and whether they have.
+    pub founders: Option<Vec<u64>>,
+    pub founded: bool,
     last_request_id: u64,
     last_disk: u64,
 }
@@ -57,6 +60,18 @@
 
     /// A group in which some safety rules are turned off.
     pub fn with_disabled_guards(size: u64, disabled_guards: &[RaftGuard]) -> Self {
+        Self::build(size, disabled_guards, None)
+    }
+
+    /// A group that other instances may join, with its first leader.
+    pub fn joinable(size: u64, disabled_guards: &[RaftGuard]) -> Self {
+        let mut group = Self::build(size, disabled_guards, Some((1..=size).collect()));
+        group.run_until("a leader", |g| g.leader().is_some());
+        group.founded = true;
+        group
+    }
+
+    fn build(size: u64, disabled_guards: &[RaftGuard], founders: Option<Vec<u64>>) -> Self {
         let mut group = Self {
             now: Millis(1),
             instances: BTreeMap::new(),
@@ -64,20 +79,13 @@
             isolated: Vec::new(),
             answers: BTreeMap::new(),
             disabled_guards: disabled_guards.to_vec(),
+            founders,
+            founded: false,
             last_request_id: 0,
             last_disk: 100,
         };
         for id in 1..=size {
-            group.last_disk += 1;
-            let instance = Instance {
-                control: None,
-                disk: DiskId(group.last_disk),
-                records: Vec::new(),
-                unsynced: Vec::new(),
-                syncs_complete: true,
-                suspended: false,
-            };
-            group.instances.insert(id, instance);
+            group.insert_empty(id);
         }
         for id in 1..=size {
             group.start(id);
@@ -92,12 +100,39 @@
         group
     }
 
+    fn insert_empty(&mut self, id: u64) {
+        self.last_disk += 1;
+        let instance = Instance {
+            control: None,
+            disk: DiskId(self.last_disk),
+            records: Vec::new(),
+            unsynced: Vec::new(),
+            syncs_complete: true,
+            suspended: false,
+        };
+        self.instances.insert(id, instance);
+    }
+
+    /// Starts a further instance with an empty disk, where instances may join.
+    pub fn add(&mut self, id: u64) {
+        self.insert_empty(id);
+        self.start(id);
+    }
+
+    /// Kills an instance that never comes back.
+    pub fn remove(&mut self, id: u64) {
+        self.instances.remove(&id);
+    }
+
     pub fn start(&mut self, id: u64) {
-        let peers = self
-            .instances
-            .keys()
-            .filter(|p| **p != id)
-            .map(|p| ReplicaId(*p))
+        let known: Vec<u64> = match &self.founders {
+            Some(founders) => founders.clone(),
+            None => self.instances.keys().copied().collect(),
+        };
+        let peers = known
+            .into_iter()
+            .filter(|p| *p != id)
+            .map(ReplicaId)
             .collect();
         let now = self.now;
         let Some(instance) = self.instances.get_mut(&id) else {
@@ -109,7 +144,11 @@
         };
         instance.unsynced.clear();
         instance.syncs_complete = true;
-        let raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
+        let mut raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
+        if let Some(founders) = &self.founders {
+            let founder = !self.founded && founders.contains(&id);
+            raft = raft.allow_joining(founder, founders.len());
+        }
         let mut control = Control::new(raft).unwrap();
         for guard in &self.disabled_guards {
             control.disable(*guard);
--- a/tests/model_log.rs
+++ b/tests/model_log.rs
@@ -23,8 +23,16 @@
     Kill(u64),
     Start(u64),
     LoseDisk(u64),
+    /// An instance is lost for good.
+    Remove(u64),
+    /// A further instance joins with an empty disk.
+    Add,
 }
 
+/// Ids that instances may have: three founders, and one that joins.
+const IDS: std::ops::RangeInclusive<u64> = 1..=4;
+const NEWCOMER: u64 = 4;
+
 #[derive(Debug, Clone)]
 struct SearchNode {
     digest: u64,
@@ -52,16 +60,21 @@
     }
 }
 
-/// Rounds that run when only time passes; longer than an election takes.
-const WAIT_ROUNDS: u32 = 90;
+fn running(group: &Group) -> Vec<u64> {
+    let up = group.instances.iter().filter(|(_, i)| i.control.is_some());
+    up.map(|(id, _)| *id).collect()
+}
+
+/// Rounds that run when only time passes; longer than an election takes, and than the silence after
+/// which a voter is replaced.
+const WAIT_ROUNDS: u32 = 150;
 /// Rounds that run after any other action; enough for a change to be accepted where that is
 /// possible.
 const ACTION_ROUNDS: u32 = 4;
 
 impl SearchNode {
     fn start(disabled_guards: &[RaftGuard]) -> Self {
-        let mut group = Group::with_disabled_guards(3, disabled_guards);
-        group.run_until("a leader", |g| g.leader().is_some());
+        let group = Group::joinable(3, disabled_guards);
         Self {
             digest: 0,
             group: Rc::new(group),
@@ -90,6 +103,11 @@
                 next.lost_disks += 1;
                 group.lose_disk(id);
             }
+            Action::Remove(id) => {
+                next.lost_disks += 1;
+                group.remove(id);
+            }
+            Action::Add => group.add(NEWCOMER),
         }
         for _ in 0..rounds {
             group.run_round();
@@ -113,14 +131,12 @@
     /// accepts it.
     fn change(&mut self, group: &mut Group) {
         self.changes += 1;
-        for id in 1..=3 {
-            if group.instances[&id].control.is_some() {
-                let name = format!("change-{}-{id}", self.changes);
-                let value = (self.changes * 10 + id).to_string();
-                let change = change_request(&name, "r1", "max_tasks", &value);
-                self.proposed
-                    .push(group.propose(id, Command::Change(change)));
-            }
+        for id in running(group) {
+            let name = format!("change-{}-{id}", self.changes);
+            let value = (self.changes * 10 + id).to_string();
+            let change = change_request(&name, "r1", "max_tasks", &value);
+            self.proposed
+                .push(group.propose(id, Command::Change(change)));
         }
     }
 
@@ -132,11 +148,8 @@
                 self.accepted.insert(accepted.revision.0);
             }
         }
-        let holds = |id: &u64| {
-            let control = group.instances[id].control.as_ref();
-            control.is_some_and(|c| c.raft().holds_lease(group.now))
-        };
-        let leaders: Vec<u64> = (1..=3).filter(holds).collect();
+        let holds = |id: &u64| group.control(*id).raft().holds_lease(group.now);
+        let leaders: Vec<u64> = running(group).into_iter().filter(holds).collect();
         if leaders.len() > 1 {
             self.violation = Some(format!("{leaders:?} may grant leases at the same time"));
         }
@@ -159,8 +172,14 @@
         if !self.group.isolated.is_empty() {
             actions.push(Action::Reconnect);
         }
-        for id in 1..=3 {
-            let up = self.group.instances[&id].control.is_some();
+        if !self.group.instances.contains_key(&NEWCOMER) {
+            actions.push(Action::Add);
+        }
+        for id in IDS {
+            let Some(instance) = self.group.instances.get(&id) else {
+                continue;
+            };
+            let up = instance.control.is_some();
             if self.group.isolated.is_empty() {
                 actions.push(Action::Isolate(id));
             }
@@ -171,6 +190,7 @@
             });
             if self.lost_disks < bounds.lost_disks {
                 actions.push(Action::LoseDisk(id));
+                actions.push(Action::Remove(id));
             }
         }
         actions
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -110,7 +110,7 @@
             disk: slot.disk,
             records: slot.records.clone(),
         };
-        let raft = Raft::new(id, peers, TIMING, durable, self.now, id.0).allow_joining(founder);
+        let raft = Raft::new(id, peers, TIMING, durable, self.now, id.0).allow_joining(founder, 3);
         let mut replica = Replica::new(raft, TIMES).unwrap();
         for guard in &self.disabled {
             replica.disable(*guard);
