Let an operator go on with one control instance when a majority of the disks is lost

Cause: with two of three disks gone the survivor rightly does nothing, and the only way out was to start anew with nothing.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod data_centre;
 pub(crate) mod demo;
 pub(crate) mod load;
+pub(crate) mod regroup;
 pub(crate) mod roles;
 pub(crate) mod run;
 pub(crate) mod settings;
@@ -136,6 +137,7 @@
   run FILE     run the roles that a settings file configures
   check FILE   check a settings file
   demo         run every role in this process under load and check the promises
+  regroup FILE go on with one control instance when a majority of the disks is lost
 
 Each command prints its usage with --help.
 ";
@@ -166,6 +168,7 @@
             "run" => Some(run::run(rest)),
             "check" => Some(check::run(rest)),
             "demo" => Some(demo::run(rest)),
+            "regroup" => Some(regroup::run(rest)),
             _ => None,
         },
     ))
--- a/src/events.rs
+++ b/src/events.rs
@@ -57,6 +57,8 @@
     CHANGE_REFUSED = 304 Warn "change-refused";
     /// The voters of a control group have changed.
     VOTERS = 305 Info "voters";
+    /// An operator made a control instance the only voter of its group.
+    REGROUPED = 306 Warn "regrouped";
     /// An entry has connected to an agent.
     LINK_UP = 400 Debug "link-up";
     /// An entry's connection to an agent is closed or silent.
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -4,7 +4,7 @@
 #[path = "fakes/group.rs"]
 mod group;
 
-use fulmardrift::{Millis, RaftGuard};
+use fulmardrift::{Durable, Millis, RaftGuard, ReplicaId, regroup};
 use group::{Group, change_request};
 
 /// Id of the instance that joins.
@@ -296,3 +296,44 @@
         })
     });
 }
+
+/// Two of three disks are lost: nothing goes on by itself, and the survivor does once an operator
+/// has made it the only voter.
+#[test]
+fn a_survivor_goes_on_only_after_regrouping() {
+    let mut group = Group::with_leader(3);
+    for n in 1..=5 {
+        let request = change_request(&format!("request-{n}"), "r1", "max_tasks", &n.to_string());
+        assert!(group.change(&request).is_ok());
+    }
+    group.run_rounds(20);
+    let survivor = group.leader().unwrap();
+    for id in 1..=3 {
+        if id != survivor {
+            group.lose_disk(id);
+        }
+    }
+    group.run_rounds(300);
+    assert!(group.leader().is_none(), "a minority went on by itself");
+    for id in 1..=3 {
+        group.kill(id);
+    }
+    let instance = group.instances.get_mut(&survivor).unwrap();
+    let durable = Durable {
+        disk: instance.disk,
+        records: instance.records.clone(),
+    };
+    let regrouping = regroup(ReplicaId(survivor), durable).unwrap();
+    assert!(regrouping.former_voters.len() > 1);
+    instance.records.extend(regrouping.records);
+    for id in 1..=3 {
+        group.start(id);
+    }
+    group.run_until("three voters", |g| {
+        g.leader()
+            .is_some_and(|leader| g.control(leader).raft().voters().len() == 3)
+    });
+    let leader = group.leader().unwrap();
+    let settings = group.state_machine(leader).settings();
+    assert_eq!(settings.number("r1", "max_tasks"), 5);
+}
