--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -87,6 +87,8 @@
     pub(crate) waiting: Vec<(Rank, JobId)>,
     // True if a waiting task may find a worker that it did not find in the last pass.
     pub(crate) may_place: bool,
+    // When the first worker that reported no free resources is tried again.
+    pub(crate) retry_at: Option<Millis>,
     // Agents known to former leaders whose inventory is still missing. After `await_deadline` they
     // are considered empty.
     pub(crate) awaited: Vec<String>,
@@ -114,6 +116,7 @@
             jobs: Table::default(),
             waiting: Vec::new(),
             may_place: false,
+            retry_at: None,
             awaited: Vec::new(),
             await_deadline: now,
             ended: Vec::new(),
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -27,7 +27,7 @@
         evacuated: &[String],
         out: &mut Vec<DispatchOutput>,
     ) {
-        if self.waiting.is_empty() || !std::mem::take(&mut self.may_place) {
+        if self.waiting.is_empty() || !self.may_find_worker(now) {
             return;
         }
         if let DispatcherId::Entry(_) = self.id {
@@ -53,6 +53,17 @@
         self.waiting = left;
     }
 
+    /// Returns true if a task that found no worker in the last pass may find one now. A pass looks at
+    /// every worker, which is too much for each message of an agent.
+    fn may_find_worker(&mut self, now: Millis) -> bool {
+        let is_retry_due = self.retry_at.is_some_and(|at| now >= at);
+        if is_retry_due {
+            let ends = self.workers.iter().filter_map(|w| w.full_until(now));
+            self.retry_at = ends.min();
+        }
+        std::mem::take(&mut self.may_place) || is_retry_due
+    }
+
     /// Starts the tasks of a job that fit on some worker. Returns true if no startable task is
     /// left.
     pub(crate) fn place_job(
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -324,12 +324,12 @@
         match reason {
             Denial::Unwell => self.workers[id.0].record_failure(now),
             Denial::Room => {
-                self.workers[id.0].mark_full(now);
+                self.pass_over(now, id);
                 self.release_run(now, id, key);
                 return;
             }
             // The agent may not have learned yet what this dispatcher already knows.
-            Denial::Closed => self.workers[id.0].mark_full(now),
+            Denial::Closed => self.pass_over(now, id),
             Denial::Stale => {}
         }
         if let Some(live) = self
@@ -342,6 +342,12 @@
         self.release_run(now, id, key);
     }
 
+    /// Passes over a worker that denied an order, until it may have room again.
+    fn pass_over(&mut self, now: Millis, id: WorkerId) {
+        let until = self.workers[id.0].mark_full(now);
+        self.retry_at = Some(self.retry_at.map_or(until, |known| known.min(until)));
+    }
+
     pub(crate) fn on_ends(
         &mut self,
         now: Millis,
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -176,9 +176,16 @@
         self.pace += (ratio - self.pace) * PACE_WEIGHT;
     }
 
-    /// The worker had no free resources for an order, or may not start runs for now.
-    pub(crate) fn mark_full(&mut self, now: Millis) {
+    /// The worker had no free resources for an order, or may not start runs for now. Returns when
+    /// it may be tried again.
+    pub(crate) fn mark_full(&mut self, now: Millis) -> Millis {
         self.full_until = now + FULL_FOR;
+        self.full_until
+    }
+
+    /// When the worker may be tried again, if it is passed over for having no free resources.
+    pub(crate) fn full_until(&self, now: Millis) -> Option<Millis> {
+        (self.full_until > now).then_some(self.full_until)
     }
 
     /// Stores what other dispatchers' runs use, as the agent reported it. Returns true if more may
