Do not wait for the lease of a replica that has lost its disk

Change: a replica that has said, since this one started, that its log is empty, under another disk than the log names, has started anew too and can hold no lease. It counts as leaderless; it still votes for nobody.

Ruled out: a shorter election timeout (a lease must fit in it).

Tests: control::a_lost_disk_does_not_delay_the_election_when_all_start_anew, red before with 1,700 ms.

--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -99,7 +99,7 @@
         } else if self
             .leaderless_voters
             .as_ref()
-            .is_some_and(|leaderless| self.is_all_voters(leaderless))
+            .is_some_and(|leaderless| self.is_leaderless(leaderless))
         {
             self.start_election(now, ElectionCause::Leaderless, out);
         }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -27,8 +27,8 @@
     Timeout,
     /// The stopping leader asked the candidate to take over.
     Handover,
-    /// Every voter has restarted and has heard from no leader since. A leader that still held a
-    /// lease would be one of these voters, so there is none.
+    /// Every voter has restarted, and has heard from no leader since or has lost its disk. A leader
+    /// that still held a lease would be one of these voters, so there is none.
     Leaderless,
 }
 
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -148,7 +148,7 @@
     // Index of the first entry of this replica's own term, while it leads.
     pub(crate) term_start: Index,
     pub(crate) stopping: bool,
-    // While this replica's log is empty: the disks of the peers whose logs are empty too.
+    // The disks of the peers that said, since this replica started, that their logs are empty.
     pub(crate) empty_peers: Table<ReplicaId, DiskId>,
     // Number of the last write requested.
     pub(crate) last_write: u64,
@@ -278,6 +278,13 @@
         let Message {
             from, disk, body, ..
         } = message;
+        if self
+            .empty_peers
+            .get(&from)
+            .is_some_and(|known| *known != disk)
+        {
+            self.empty_peers.remove(&from);
+        }
         match body {
             Body::PreVote { term, last } => self.on_pre_vote(now, from, term, last, out),
             Body::PreVoted {
@@ -522,9 +529,18 @@
         count * 2 > voters || (count > 0 && !self.is_enabled(RaftGuard::Quorum))
     }
 
-    /// True when `given` contains all voters of the latest configuration.
-    pub(crate) fn is_all_voters(&self, given: &[Voter]) -> bool {
-        let (voters, count) = self.count_configured(given);
+    /// True when none of the latest configuration's voters can hold a lease: each is in `given`,
+    /// which have heard from no leader since they started, or has started with another, empty disk.
+    pub(crate) fn is_leaderless(&self, given: &[Voter]) -> bool {
+        let (voters, _) = self.log.voters();
+        let mut known = given.to_vec();
+        for voter in voters {
+            let empty_disk = self.empty_peers.get(&voter.id);
+            if empty_disk.is_some_and(|disk| *disk != voter.disk) {
+                known.push(*voter);
+            }
+        }
+        let (voters, count) = self.count_configured(&known);
         count == voters || (!self.is_enabled(RaftGuard::AllLeaderless) && self.is_quorum(given))
     }
 
--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -48,6 +48,9 @@
         out: &mut Vec<RaftOutput>,
     ) {
         if !self.log.is_empty() {
+            if empty {
+                self.empty_peers.insert(from.id, from.disk);
+            }
             self.answer_hello(from, empty, out);
             return;
         }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -511,6 +511,35 @@
     }
 }
 
+/// A replica that starts with an empty disk is no longer the leader that it may have been.
+#[test]
+fn a_lost_disk_does_not_delay_the_election_when_all_start_anew() {
+    for (size, lost) in [(3, 1), (5, 1), (5, 2)] {
+        let mut group = Group::with_leader(size);
+        assert!(group.change(&set_max_tasks(5)).is_ok());
+        group.run_rounds(20);
+        for id in 1..=size {
+            group.kill(id);
+        }
+        for id in 1..=lost {
+            group.lose_disk(id);
+        }
+        for id in lost + 1..=size {
+            group.start(id);
+        }
+        let started_at = group.now;
+        group.run_until("a leader", |g| g.leader().is_some());
+        let waited = group.now.since(started_at);
+        assert!(
+            waited < group::timing().election,
+            "{waited:?} with {lost} of {size} disks lost"
+        );
+        group.run_until("all have it", |g| {
+            (1..=size).all(|id| max_tasks(g, id) == 5)
+        });
+    }
+}
+
 #[test]
 fn a_restarted_majority_waits_for_the_lease_of_a_leader_that_is_cut_off() {
     for size in [3, 5] {
