Keep a leader's run ids within its term after a stale one

A leader's id holds the term in its upper half, so its next ids were those of terms far ahead, and a start under an old leader could win over a later one.

Change: only an entry, whose ids come from a clock, skips ahead. A leader's next id is above those of all former leaders by its term.

Test: stored_jobs::a_run_id_refused_as_stale_keeps_later_ids_within_the_term, red before (ids of term 6 in term 3).

Left: after 2^32 starts in one term the counter would reach into the term; at 190,000 stored starts a second that is six hours.

--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -318,7 +318,8 @@
             "task={} run={} agent={} reason={reason:?}",
             key.0, key.1.0, self.workers[id.0].agent
         ));
-        if reason == Denial::Stale {
+        if reason == Denial::Stale && matches!(self.id, DispatcherId::Entry(_)) {
+            // A leader's ids hold its term, so the next one is above those of all former leaders.
             self.last_run = self.last_run.max(key.1.0) + RUN_SKIP;
         }
         match reason {
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -202,7 +202,7 @@
     }
 
     /// Makes sure that neither this run nor an earlier one of the task starts from now on.
-    fn revoke(&mut self, task: TaskId, run: RunId) {
+    pub fn revoke(&mut self, task: TaskId, run: RunId) {
         let highest = self.highest_runs.entry(task).or_insert(run);
         *highest = (*highest).max(run);
     }
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -10,8 +10,8 @@
 use fulmardrift::{
     AcceptorMessage, AgentTimes, Call, CallReply, ClientAction, DiskId, Durable, Initiator,
     InitiatorMessage, JobGuard, JobId, JobStatus, Millis, OperatorConfig, Owner, Raft, RaftOutput,
-    RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, ServerAgent,
-    ServerAgentInput, ServerAgentOutput, SessionId, Term,
+    RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, RunId,
+    ServerAgent, ServerAgentInput, ServerAgentOutput, SessionId, TaskId, Term,
 };
 
 use fleet::{MAX_LEASE, config, job, submit};
@@ -610,3 +610,28 @@
         );
     }
 }
+
+/// Ids that grew beyond their term could win over those of a later leader.
+#[test]
+fn a_run_id_refused_as_stale_keeps_later_ids_within_the_term() {
+    const TERM_SHIFT: u32 = 32;
+    let mut group = TestGroup::new(100);
+    let (_, term) = group.leader.unwrap();
+    let task = TaskId {
+        job: JobId(1),
+        step: 0,
+        index: 0,
+    };
+    // The backend server refuses the first ids of this leader.
+    let refused = RunId((term.0 << TERM_SHIFT) + 5);
+    group.server.revoke(task, refused);
+    assert_eq!(
+        group.ask(&submit(JobId(1), job(1, 100, false))),
+        CallReply::Done
+    );
+    group.run(3_000);
+    assert_eq!(group.job_status(JobId(1)), COMPLETED);
+    for span in &group.server.spans {
+        assert_eq!(span.run.0 >> TERM_SHIFT, term.0, "{span:?}");
+    }
+}
