Split what grew: sessions of agents, calls of replicas, quorums, regrouping

A worker is chosen in one walk again, with the ejected ones kept apart, instead of one walk more to count them.

--- a/src/cmd/regroup.rs
+++ b/src/cmd/regroup.rs
@@ -10,7 +10,7 @@
 use super::{CmdError, CmdResult, ConfigSnafu, failed, print_help_if_requested};
 use crate::config::{self, Config, ControlConfig};
 use crate::control::log::{DiskId, ReplicaId, list_voters};
-use crate::control::repair::{Regrouping, regroup};
+use crate::control::regroup::{Regrouping, regroup};
 use crate::events;
 use crate::store::log_directory::LogDirectory;
 use crate::store::wal::Wal;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod agent;
 pub(crate) mod agent_calls;
+pub(crate) mod agent_links;
 pub(crate) mod agent_replies;
 pub(crate) mod agent_run;
 pub(crate) mod agent_ticks;
@@ -21,6 +22,7 @@
 pub(crate) mod pending_reply;
 pub(crate) mod placing;
 pub(crate) mod replica;
+pub(crate) mod replica_calls;
 pub(crate) mod replicated_state;
 pub(crate) mod reports;
 pub(crate) mod routes;
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -172,14 +172,9 @@
         self.workers.iter().any(usable)
     }
 
-    /// Returns true if ejected workers are passed over. With too many of them, the others could not
-    /// carry the load, or the cause lies elsewhere.
-    fn avoids_ejected(&self) -> bool {
-        let ejected = self.workers.iter().filter(|w| w.ejected).count();
-        ejected * MAX_EJECTED_PART <= self.workers.len()
-    }
-
     /// Returns the worker on which the task is expected to end first, or `None` if it fits on none.
+    /// Ejected workers are passed over unless there are too many of them: the others could not carry
+    /// the load then, or the cause lies elsewhere.
     pub(crate) fn choose_worker(
         &self,
         now: Millis,
@@ -189,15 +184,14 @@
         avoid: Option<WorkerId>,
     ) -> Option<WorkerId> {
         let step = definition.step(key)?;
-        let avoid_ejected = self.avoids_ejected();
         let mut best: Option<(f64, WorkerId)> = None;
+        let mut best_ejected: Option<(f64, WorkerId)> = None;
+        let mut ejected = 0;
         for (at, worker) in self.workers.iter().enumerate() {
+            ejected += usize::from(worker.ejected);
             let Some(server) = worker.available_server(now) else {
                 continue;
             };
-            if worker.ejected && avoid_ejected {
-                continue;
-            }
             let mut used = worker.used;
             used.add(worker.other_usage);
             let fits = server.capacity.fits(used, step.need);
@@ -228,10 +222,19 @@
             // Among otherwise equal workers, prefers the one with the most free CPU.
             let full = f64::from(used.cpu) / f64::from(server.capacity.cpu.max(1));
             cost += full * 0.05;
-            if best.is_none_or(|(known, _)| cost < known) {
-                best = Some((cost, WorkerId(at)));
+            let slot = if worker.ejected {
+                &mut best_ejected
+            } else {
+                &mut best
+            };
+            if slot.is_none_or(|(known, _)| cost < known) {
+                *slot = Some((cost, WorkerId(at)));
             }
         }
+        if ejected * MAX_EJECTED_PART > self.workers.len() {
+            let both = best.into_iter().chain(best_ejected);
+            best = both.min_by(|a, b| a.0.total_cmp(&b.0));
+        }
         best.map(|(_, id)| id)
     }
 }
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -6,13 +6,11 @@
 use bytes::Bytes;
 use snafu::{ResultExt, Snafu};
 
-use super::call::{Call, CallReply, ClientAction};
+use super::call::{Call, CallReply};
 use super::dispatcher::{DispatchOutput, Dispatcher, GROUP_GRANT};
 use super::guard::{Guards, JobGuard};
-use super::pending_reply::{Origin, PendingReply, reply_message, send_replies};
-use super::replicated_state::{Job, ReplicatedState, StateChange, StateCommand};
-use super::routes::{self, Target};
-use super::spec::{JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings};
+use super::pending_reply::{Origin, PendingReply, send_replies};
+use super::replicated_state::{ReplicatedState, StateChange, StateCommand};
 use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use super::worker::SessionId;
 use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term, list_voters};
@@ -25,8 +23,6 @@
 const SNAPSHOT_AFTER: usize = 8_000;
 /// Ended jobs are kept this much longer than callers may ask for their outcome, in milliseconds.
 const KEEP_MARGIN: Millis = Millis(10_000);
-/// Retry delay given to callers whose call was not accepted, in milliseconds.
-const RETRY_AFTER: Millis = Millis(1_000);
 
 /// Errors after which a control instance must stop.
 #[derive(Debug, Snafu)]
@@ -297,158 +293,6 @@
         }
     }
 
-    pub(crate) fn on_call(
-        &mut self,
-        now: Millis,
-        origin: Origin,
-        call: Call,
-        out: &mut Vec<ReplicaOutput>,
-    ) {
-        if self.dispatcher.is_none() || !self.raft.holds_lease(now) {
-            out.push(reply_message(origin, CallReply::NotLeader));
-            return;
-        }
-        let reply = match call {
-            Call::Client { host, path, action } => {
-                self.on_client_call(origin, &host, &path, action)
-            }
-            Call::PutConfig(None) => {
-                Some(CallReply::Invalid("not a valid configuration".to_owned()))
-            }
-            Call::PutConfig(Some(config)) => self.put_config(origin, config),
-            Call::GetConfig => Some(match &self.state.config {
-                Some(config) => CallReply::Document(config.document.clone()),
-                None => CallReply::NoConfig,
-            }),
-            Call::Evacuate(data_centre, evacuated) => {
-                events::EVACUATE.log(format_args!("data_centre={data_centre} out={evacuated}"));
-                self.batch.push((
-                    StateCommand::Evacuate(data_centre, evacuated),
-                    PendingReply::Call(origin),
-                ));
-                None
-            }
-        };
-        if let Some(reply) = reply {
-            out.push(reply_message(origin, reply));
-        }
-    }
-
-    pub(crate) fn put_config(
-        &mut self,
-        origin: Origin,
-        config: OperatorConfig,
-    ) -> Option<CallReply> {
-        let current = self.state.config.as_ref();
-        if current.is_some_and(|current| current.version > config.version) {
-            return Some(CallReply::Done);
-        }
-        let pending = PendingReply::Config(origin, config.version, config.document.clone());
-        self.batch.push((StateCommand::Config(config), pending));
-        None
-    }
-
-    pub(crate) fn on_client_call(
-        &mut self,
-        origin: Origin,
-        host: &str,
-        path: &str,
-        action: ClientAction,
-    ) -> Option<CallReply> {
-        let Some(config) = &self.state.config else {
-            return Some(CallReply::NoConfig);
-        };
-        match (routes::find(config, host, path), action) {
-            (Target::Unknown, _) => Some(CallReply::NoQueue),
-            (Target::Queue(queue), ClientAction::Query) => {
-                let settings = queue.settings.clone();
-                Some(CallReply::Pending(self.count_pending(&settings)))
-            }
-            (Target::Job(_, id), ClientAction::Query) => Some(self.job_status(id)),
-            (Target::Job(_, id), ClientAction::Cancel) => self.cancel(origin, id),
-            (Target::Job(queue, id), ClientAction::Submit(Some(spec))) => {
-                let settings = queue.settings.clone();
-                if self.state.jobs.get(&id).is_some() {
-                    return Some(CallReply::Done);
-                }
-                if let Some(feature) = &spec.unsupported {
-                    events::REFUSED.log(format_args!("job={id} unsupported={feature}"));
-                    return Some(CallReply::Refused(RETRY_AFTER));
-                }
-                if spec.transient {
-                    // The entry did not have a configuration yet, so it forwarded a transient job.
-                    return Some(CallReply::NotLeader);
-                }
-                self.accept(origin, id, settings, spec);
-                None
-            }
-            (_, ClientAction::Submit(_)) => Some(CallReply::Invalid("not a job".to_owned())),
-            (Target::NotAJob(_), _) | (Target::Queue(_), ClientAction::Cancel) => {
-                Some(CallReply::NoJob)
-            }
-        }
-    }
-
-    /// Proposes to accept a job. A further submission before the commit waits for the same log
-    /// entry.
-    pub(crate) fn accept(
-        &mut self,
-        origin: Origin,
-        id: JobId,
-        settings: QueueSettings,
-        spec: JobSpec,
-    ) {
-        let proposed = self.pending.iter_mut().map(|(_, pending)| pending);
-        let batched = self.batch.iter_mut().map(|(_, pending)| pending);
-        for pending in proposed.chain(batched) {
-            if let PendingReply::Accept(known, origins) = pending
-                && *known == id
-            {
-                origins.push(origin);
-                return;
-            }
-        }
-        let command = StateCommand::Accept(id, settings, spec);
-        self.batch
-            .push((command, PendingReply::Accept(id, vec![origin])));
-    }
-
-    pub(crate) fn cancel(&mut self, origin: Origin, id: JobId) -> Option<CallReply> {
-        match self.state.jobs.get(&id) {
-            None => Some(CallReply::NoJob),
-            Some(Job::Ended(_)) => Some(CallReply::Done),
-            Some(Job::Open(_)) => {
-                events::CANCELLED.log(format_args!("job={id}"));
-                self.batch
-                    .push((StateCommand::Cancel(id), PendingReply::Call(origin)));
-                None
-            }
-        }
-    }
-
-    pub(crate) fn job_status(&self, id: JobId) -> CallReply {
-        match self.state.jobs.get(&id) {
-            None => CallReply::NoJob,
-            Some(Job::Ended(status)) => CallReply::State(*status),
-            Some(Job::Open(_)) => {
-                let started = self.dispatcher.as_ref().is_some_and(|l| l.has_started(id));
-                CallReply::State(if started {
-                    JobStatus::Running
-                } else {
-                    JobStatus::Queued
-                })
-            }
-        }
-    }
-
-    /// Number of jobs with these queue settings of which no task has started.
-    pub(crate) fn count_pending(&self, settings: &QueueSettings) -> u64 {
-        let Some(dispatcher) = &self.dispatcher else {
-            return 0;
-        };
-        dispatcher.count_pending(settings)
-    }
-
     pub(crate) fn propose(
         &mut self,
         now: Millis,
--- a/src/dispatch/slow.rs
+++ b/src/dispatch/slow.rs
@@ -52,7 +52,7 @@
             }
         }
         for (id, key) in slow {
-            if self.may_move(id, key.0, MAX_MOVES) {
+            if self.count_move(id, key.0, MAX_MOVES) {
                 self.move_run(now, id, key, Slowness::Slow, out);
             }
         }
@@ -71,15 +71,15 @@
             .map(|(key, _)| *key)
             .collect();
         for key in stalled {
-            if self.may_move(id, key.0, MAX_STALLED_MOVES) {
+            if self.count_move(id, key.0, MAX_STALLED_MOVES) {
                 self.move_run(now, id, key, Slowness::Stalled, out);
             }
         }
     }
 
-    /// Counts a move of a task from a worker. Returns false if it was moved `limit` times already,
-    /// or its job has ended.
-    fn may_move(&mut self, id: WorkerId, task: TaskId, limit: u32) -> bool {
+    /// Counts a move of a task away from a worker, unless it was moved `limit` times already or its
+    /// job has ended. Returns true if it may be moved.
+    fn count_move(&mut self, id: WorkerId, task: TaskId, limit: u32) -> bool {
         let Some(live) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) else {
             return false;
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,8 +29,8 @@
 pub use crate::control::raft::{
     Durable, Raft, RaftGuard, RaftInput, RaftOutput, RaftRole, RaftTiming,
 };
+pub use crate::control::regroup::{Regrouping, regroup};
 pub use crate::control::renewals::{Renewal, Renewals};
-pub use crate::control::repair::{Regrouping, regroup};
 pub use crate::control::server::{
     Control, ControlAnswer, ControlError, ControlInput, ControlOutput, RequestId,
 };
