--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::events;
+
 /// Election term; each term has at most one leader.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -237,3 +239,16 @@
         self.entries.len()
     }
 }
+
+/// The command of a committed entry; `None` if it holds none. A change of the voters is logged.
+pub(crate) fn committed_command(entry: &LogEntry) -> Option<&Bytes> {
+    match &entry.payload {
+        Payload::Command(command) => Some(command),
+        Payload::Voters(voters) => {
+            let (index, voters) = (entry.position.index, list_voters(voters));
+            events::VOTERS.log(format_args!("index={} voters={voters}", index.0));
+            None
+        }
+        Payload::Noop => None,
+    }
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -7,13 +7,14 @@
 use snafu::{ResultExt, Snafu};
 
 use super::command::{Command, CommandReply, TimestampedCommand};
-use super::log::{Index, LogEntry, Payload, Position, ReplicaId, Snapshot, Term, list_voters};
+use super::log::{
+    Index, LogEntry, Payload, Position, ReplicaId, Snapshot, Term, committed_command,
+};
 use super::raft::{Raft, RaftGuard, RaftInput, RaftOutput};
 use super::renewals::Renewals;
 use super::state_machine::StateMachine;
 use crate::core::clock::Millis;
 use crate::core::ids::{Incarnation, Revision};
-use crate::events;
 
 /// A snapshot replaces the log once it has this many entries.
 const SNAPSHOT_THRESHOLD: usize = 20_000;
@@ -291,14 +292,8 @@
         out: &mut Vec<ControlOutput>,
     ) -> Result<(), ControlError> {
         let index = entry.position.index;
-        let command = match &entry.payload {
-            Payload::Command(command) => command,
-            Payload::Voters(voters) => {
-                let voters = list_voters(voters);
-                events::VOTERS.log(format_args!("index={} voters={voters}", index.0));
-                return Ok(());
-            }
-            Payload::Noop => return Ok(()),
+        let Some(command) = committed_command(entry) else {
+            return Ok(());
         };
         let timestamped: TimestampedCommand =
             postcard::from_bytes(command).context(DecodeSnafu { index })?;
--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -357,69 +357,6 @@
         }
     }
 
-    /// Sends the inventory to each connected dispatcher that lacks it, once the runs at the backend
-    /// server are known.
-    pub(crate) fn report_inventories(&mut self, out: &mut Vec<ServerAgentOutput>) {
-        let mut due = Vec::new();
-        for (owner, dispatcher) in self.dispatchers.iter() {
-            let is_listed = match owner {
-                // Without a backend server there is nothing to list, unless one runs that has not
-                // announced itself to this incarnation of the agent yet.
-                _ if self.server.is_none() => !self.may_have_unknown_runs,
-                Owner::Group => self.listed_under == Some((self.life(), self.term)),
-                _ => self
-                    .listed_under
-                    .is_some_and(|(life, _)| life == self.life()),
-            };
-            if dispatcher.connected && !dispatcher.has_inventory && is_listed {
-                due.push((*owner, dispatcher.epoch));
-            }
-        }
-        for (owner, epoch) in due {
-            self.report_inventory(owner, epoch, out);
-        }
-    }
-
-    /// Sends the unrecorded ends, then the inventory: the dispatcher treats a run that is missing
-    /// from the inventory as lost unless it already knows its end.
-    pub(crate) fn report_inventory(
-        &mut self,
-        owner: Owner,
-        epoch: u64,
-        out: &mut Vec<ServerAgentOutput>,
-    ) {
-        if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
-            dispatcher.has_inventory = true;
-        }
-        let ends: Vec<_> = self
-            .ends
-            .iter()
-            .filter(|e| e.owner == owner && !e.recorded)
-            .map(|e| (e.number, e.end))
-            .collect();
-        if !ends.is_empty() {
-            let life = self.life();
-            out.push(ServerAgentOutput::Report(
-                owner,
-                AgentReport::Ends { life, ends },
-            ));
-        }
-        let own = self
-            .runs
-            .iter()
-            .filter(|(_, agent_run)| agent_run.owner == owner);
-        let inventory = AgentReport::Inventory {
-            epoch,
-            server: self.server.clone(),
-            runs: own.map(|(key, _)| *key).collect(),
-        };
-        out.push(ServerAgentOutput::Report(owner, inventory));
-        if self.ejection.is_active() {
-            out.push(ServerAgentOutput::Report(owner, AgentReport::Ejected(true)));
-        }
-        self.usage_report_due = true;
-    }
-
     pub(crate) fn on_order(
         &mut self,
         now: Millis,
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -13,7 +13,7 @@
 use super::replicated_state::{ReplicatedState, StateChange, StateCommand};
 use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use super::worker::SessionId;
-use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term, list_voters};
+use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term, committed_command};
 use crate::control::raft::{Raft, RaftInput, RaftOutput};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -371,14 +371,8 @@
     ) -> Result<(), ReplicaError> {
         let index = entry.position.index;
         self.state.applied = index.0;
-        let command = match &entry.payload {
-            Payload::Command(command) => command,
-            Payload::Voters(voters) => {
-                let voters = list_voters(voters);
-                events::VOTERS.log(format_args!("index={} voters={voters}", index.0));
-                return Ok(());
-            }
-            Payload::Noop => return Ok(()),
+        let Some(command) = committed_command(entry) else {
+            return Ok(());
         };
         let command: StateCommand = postcard::from_bytes(command).context(DecodeSnafu { index })?;
         let changes_agents = matches!(command, StateCommand::Enroll(_) | StateCommand::Dismiss(_));
