--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -7,9 +7,7 @@
 use snafu::{ResultExt, Snafu};
 
 use super::command::{Command, CommandReply, TimestampedCommand};
-use super::log::{
-    Index, LogEntry, Payload, Position, ReplicaId, Snapshot, Term, committed_command,
-};
+use super::log::{Index, LogEntry, Position, ReplicaId, Snapshot, Term, committed_command};
 use super::raft::{Raft, RaftGuard, RaftInput, RaftOutput};
 use super::renewals::Renewals;
 use super::state_machine::StateMachine;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -13,7 +13,7 @@
 use super::replicated_state::{ReplicatedState, StateChange, StateCommand};
 use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use super::worker::SessionId;
-use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term, committed_command};
+use crate::control::log::{Index, LogEntry, ReplicaId, Snapshot, Term, committed_command};
 use crate::control::raft::{Raft, RaftInput, RaftOutput};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
