--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -337,3 +337,22 @@
     let settings = group.state_machine(leader).settings();
     assert_eq!(settings.number("r1", "max_tasks"), 5);
 }
+
+/// Operators name another instance in the settings files, and restart the others one by one.
+#[test]
+fn an_instance_named_in_place_of_another_takes_its_place() {
+    let mut group = Group::with_leader(3);
+    group.remove(3);
+    group.add(NEWCOMER);
+    for id in [1, 2] {
+        group.kill(id);
+        group.start(id);
+        group.run_rounds(100);
+    }
+    group.run_until("the newcomer votes in its place", |g| {
+        g.leader().is_some_and(|leader| {
+            let voters = g.control(leader).raft().voters();
+            voters.len() == 3 && voters.iter().any(|v| v.id.0 == NEWCOMER)
+        })
+    });
+}
