Pass a newcomer's announcement on to the leader

Change: a follower that has heard from the leader within two heartbeats passes the announcement on to it.

Test: replacement::a_newcomer_reaches_a_leader_that_it_does_not_know, red before.

--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -346,7 +346,7 @@
                 }
             }
             Body::Hello { empty, known_disk } => {
-                self.on_hello(Voter { id: from, disk }, empty, known_disk, out);
+                self.on_hello(now, Voter { id: from, disk }, empty, known_disk, out);
             }
             Body::FoundGroup { voters } => self.on_found_group(voters, out),
         }
--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -9,7 +9,7 @@
 //! does not exceed the target size.
 
 use super::log::{DiskId, Index, LogEntry, Payload, Position, Term, Voter};
-use super::message::Body;
+use super::message::{Body, Message};
 use super::raft::{Raft, RaftGuard, RaftOutput};
 use crate::core::clock::Millis;
 
@@ -42,6 +42,7 @@
 
     pub(crate) fn on_hello(
         &mut self,
+        now: Millis,
         from: Voter,
         empty: bool,
         known_disk: Option<DiskId>,
@@ -52,6 +53,7 @@
                 self.empty_peers.insert(from.id, from.disk);
             }
             self.answer_hello(from, empty, out);
+            self.relay_hello(now, from, empty, out);
             return;
         }
         if !empty {
@@ -67,6 +69,27 @@
         self.try_found_group(out);
     }
 
+    /// Passes an announcement on to the leader, which the sender may not know. Only a leader heard
+    /// from lately gets it, so that it is not passed around.
+    fn relay_hello(&self, now: Millis, from: Voter, empty: bool, out: &mut Vec<RaftOutput>) {
+        let Some(leader) = self.leader.filter(|leader| *leader != from.id) else {
+            return;
+        };
+        let is_current = now < self.last_heard_at + self.timing.heartbeat + self.timing.heartbeat;
+        if self.is_leader() || !is_current {
+            return;
+        }
+        out.push(RaftOutput::Send(Message {
+            from: from.id,
+            disk: from.disk,
+            to: leader,
+            body: Body::Hello {
+                empty,
+                known_disk: None,
+            },
+        }));
+    }
+
     fn answer_hello(&self, from: Voter, empty: bool, out: &mut Vec<RaftOutput>) {
         if !empty {
             return;
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -356,3 +356,23 @@
         })
     });
 }
+
+/// The newcomer knows only instances that do not lead.
+#[test]
+fn a_newcomer_reaches_a_leader_that_it_does_not_know() {
+    let mut group = Group::joinable(5, &[]);
+    let leader = group.leader().unwrap();
+    let gone = (1..=5).find(|id| *id != leader).unwrap();
+    let founders = group.founders.as_mut().unwrap();
+    founders.retain(|id| *id != leader);
+    // The group has five voters, however many the newcomer is told of.
+    founders.push(gone);
+    group.add(NEWCOMER);
+    group.remove(gone);
+    group.run_until("the newcomer votes", |g| {
+        g.leader().is_some_and(|leader| {
+            let voters = g.control(leader).raft().voters();
+            voters.iter().any(|v| v.id.0 == NEWCOMER)
+        })
+    });
+}
