Split three files of over 600 lines: the agent's gRPC service, and two test fakes

Cause: shell/agent.rs held the actor and its gRPC service, tests/fakes/mod.rs the fake fleet and its faults, tests/stored_jobs.rs a harness and its tests.

Change: shell/agent_rpc.rs, tests/fakes/faults.rs and tests/fakes/stored.rs take whole items, unchanged but for visibility. No test or check changed.

--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod admin;
 pub(crate) mod agent;
+pub(crate) mod agent_rpc;
 pub(crate) mod announce;
 pub(crate) mod backend;
 pub(crate) mod clock;
--- a/src/shell/relay.rs
+++ b/src/shell/relay.rs
@@ -13,7 +13,8 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Status, Streaming};
 
-use super::agent::{AgentCall, AgentHandle, into_chunk};
+use super::agent::{AgentCall, AgentHandle};
+use super::agent_rpc::into_chunk;
 use super::backend::{BackendClient, elapsed_millis};
 use super::convert;
 use super::http::BoxError;
--- /dev/null
+++ b/tests/fakes/stored.rs
@@ -0,0 +1,330 @@
+//! Three replicas that store jobs, an agent and its backend server, in virtual time.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fulmardrift::{
+    AcceptorMessage, AgentTimes, Call, CallReply, ClientAction, DiskId, Durable, Initiator,
+    InitiatorMessage, JobGuard, JobId, Millis, Owner, Raft, RaftOutput, RaftTiming, Record,
+    Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, ServerAgent, ServerAgentInput,
+    ServerAgentOutput, SessionId, Term,
+};
+
+use super::fleet::{MAX_LEASE, config};
+use super::server::FakeServer;
+
+const TIMES: ReplicaTimes = ReplicaTimes {
+    keep: Millis(120_000),
+};
+const TIMING: RaftTiming = RaftTiming {
+    election: Millis(450),
+    heartbeat: Millis(90),
+    margin: Millis(60),
+};
+/// Duration of a disk sync, in milliseconds.
+const SYNC_MS: u64 = 9;
+const AGENT_SESSION: SessionId = SessionId(1);
+/// Incarnation number of an entry that keeps its session with the agent.
+const ENTRY_LIFE: u64 = 77;
+const ENTRY_GRANT: Millis = Millis(800);
+
+pub struct Slot {
+    pub replica: Option<Replica>,
+    pub disk: DiskId,
+    pub records: Vec<Record>,
+    pub unsynced: VecDeque<(u64, u64, Vec<Record>)>,
+}
+
+/// A control group, and an agent that has a session with every replica.
+pub struct TestGroup {
+    pub now: Millis,
+    pub slots: Vec<Slot>,
+    pub net: VecDeque<(u64, ReplicaId, ReplicaInput)>,
+    pub agent: ServerAgent,
+    pub server: FakeServer,
+    pub leader: Option<(usize, Term)>,
+    pub calls: VecDeque<fulmardrift::ServerCall>,
+    pub replies: BTreeMap<u64, CallReply>,
+    pub last_token: u64,
+    /// The agent's sessions with the replicas are cut; its session with the entry is not.
+    pub agent_cut_off: bool,
+    /// Safety rules that are turned off.
+    pub disabled: Vec<JobGuard>,
+}
+
+impl TestGroup {
+    pub fn new(work: u64) -> Self {
+        Self::with_disabled(work, &[])
+    }
+
+    /// Creates a group and an agent for which some safety rules are turned off.
+    pub fn with_disabled(work: u64, disabled: &[JobGuard]) -> Self {
+        let mut group = Self {
+            now: Millis(1),
+            slots: Vec::new(),
+            net: VecDeque::new(),
+            agent: ServerAgent::new(AgentTimes {
+                max_lease: MAX_LEASE,
+            }),
+            server: FakeServer::new("s0", "dc0", Millis(work)),
+            leader: None,
+            calls: VecDeque::new(),
+            replies: BTreeMap::new(),
+            last_token: 0,
+            agent_cut_off: false,
+            disabled: disabled.to_vec(),
+        };
+        for guard in disabled {
+            group.agent.disable(*guard);
+        }
+        for at in 0..3 {
+            group.slots.push(Slot {
+                replica: None,
+                disk: DiskId(100 + at),
+                records: vec![Record::Disk(DiskId(100 + at))],
+                unsynced: VecDeque::new(),
+            });
+        }
+        for at in 0..3 {
+            group.start(at, true);
+        }
+        let heartbeat = group.server.heartbeat();
+        group.agent_input(ServerAgentInput::Heartbeat(heartbeat));
+        group.run(2_500);
+        assert_eq!(
+            group.ask(&Call::PutConfig(Some(config(1)))),
+            CallReply::Done
+        );
+        group
+    }
+
+    pub fn start(&mut self, at: usize, founder: bool) {
+        let id = ReplicaId(at as u64 + 1);
+        let peers = (1..=3).map(ReplicaId).filter(|peer| *peer != id).collect();
+        let slot = &mut self.slots[at];
+        let durable = Durable {
+            disk: slot.disk,
+            records: slot.records.clone(),
+        };
+        let raft = Raft::new(id, peers, TIMING, durable, self.now, id.0).allow_joining(founder, 3);
+        let mut replica = Replica::new(raft, TIMES).unwrap();
+        for guard in &self.disabled {
+            replica.disable(*guard);
+        }
+        slot.replica = Some(replica);
+        let hello = InitiatorMessage::Hello(Initiator::Agent("agent".to_owned()));
+        self.input(at, ReplicaInput::Message(AGENT_SESSION, hello));
+    }
+
+    /// Kills a replica's process, and loses what its disk had not synced.
+    pub fn kill(&mut self, at: usize) {
+        self.slots[at].replica = None;
+        self.slots[at].unsynced.clear();
+        if self.leader.is_some_and(|(leader, _)| leader == at) {
+            self.leader = None;
+            self.agent_input(ServerAgentInput::Leader(None));
+        }
+    }
+
+    /// Kills a replica's process and replaces its disk with an empty one.
+    pub fn wipe(&mut self, at: usize) {
+        self.kill(at);
+        let disk = DiskId(self.slots[at].disk.0 + 1_000);
+        self.slots[at].disk = disk;
+        self.slots[at].records = vec![Record::Disk(disk)];
+    }
+
+    /// Cuts the agent off from the group, while an entry goes on granting it the right to act.
+    pub fn cut_off_agent(&mut self) {
+        self.agent_cut_off = true;
+        self.leader = None;
+        self.agent_input(ServerAgentInput::Leader(None));
+        self.agent_input(ServerAgentInput::Welcome(ENTRY_LIFE, Vec::new()));
+        for at in 0..3 {
+            self.input(at, ReplicaInput::Closed(AGENT_SESSION));
+        }
+    }
+
+    pub fn reconnect_agent(&mut self) {
+        self.agent_cut_off = false;
+        for at in 0..3 {
+            let hello = InitiatorMessage::Hello(Initiator::Agent("agent".to_owned()));
+            self.input(at, ReplicaInput::Message(AGENT_SESSION, hello));
+        }
+    }
+
+    pub fn input(&mut self, at: usize, input: ReplicaInput) {
+        let now = self.now;
+        let Some(replica) = &mut self.slots[at].replica else {
+            return;
+        };
+        let mut out = Vec::new();
+        replica.step(now, input, &mut out).unwrap();
+        replica.flush(now, &mut out).unwrap();
+        for output in out {
+            self.handle_output(at, output);
+        }
+    }
+
+    pub fn handle_output(&mut self, at: usize, output: ReplicaOutput) {
+        match output {
+            ReplicaOutput::Raft(RaftOutput::Write(number, records)) => {
+                let due = self.now.0 + SYNC_MS;
+                self.slots[at].unsynced.push_back((due, number, records));
+            }
+            ReplicaOutput::Raft(RaftOutput::Send(message)) => {
+                let to = message.to;
+                let input = ReplicaInput::Message(SessionId(90), InitiatorMessage::Peer(message));
+                self.net.push_back((self.now.0 + 1, to, input));
+            }
+            ReplicaOutput::Message(AGENT_SESSION, message) if !self.agent_cut_off => {
+                self.deliver_to_agent(at, message);
+            }
+            ReplicaOutput::Raft(_) | ReplicaOutput::Message(..) => {}
+            ReplicaOutput::Reply(token, reply) => {
+                self.replies.insert(token, reply);
+            }
+        }
+    }
+
+    pub fn deliver_to_agent(&mut self, at: usize, message: AcceptorMessage) {
+        let leads = self.leader.is_some_and(|(leader, _)| leader == at);
+        let input = match message {
+            AcceptorMessage::Status {
+                leads: true, term, ..
+            } if self.leader.is_none_or(|(_, known)| known < term) => {
+                self.leader = Some((at, term));
+                ServerAgentInput::Leader(Some(term))
+            }
+            AcceptorMessage::HeartbeatAck {
+                at,
+                grant: Some(grant),
+            } if leads => ServerAgentInput::Granted(Owner::Group, at + grant),
+            AcceptorMessage::Order(order) if leads => ServerAgentInput::Order(Owner::Group, order),
+            AcceptorMessage::Recorded { life, upto } if leads => ServerAgentInput::Recorded {
+                owner: Owner::Group,
+                life,
+                upto,
+            },
+            AcceptorMessage::Evacuated(index, data_centres) => {
+                ServerAgentInput::Evacuated(index, data_centres)
+            }
+            _ => return,
+        };
+        self.agent_input(input);
+    }
+
+    pub fn agent_input(&mut self, input: ServerAgentInput) {
+        let mut out = Vec::new();
+        self.agent.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                ServerAgentOutput::Call(call) => self.calls.push_back(call),
+                ServerAgentOutput::Report(Owner::Group, report) => {
+                    if let Some((leader, _)) = self.leader {
+                        self.input(
+                            leader,
+                            ReplicaInput::Message(AGENT_SESSION, InitiatorMessage::Report(report)),
+                        );
+                    }
+                }
+                ServerAgentOutput::Report(..) => {}
+            }
+        }
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = Millis(self.now.0 + 1);
+            let now = self.now;
+            for at in 0..3 {
+                while let Some((_, number, records)) = self.slots[at]
+                    .unsynced
+                    .pop_front_if(|(due, ..)| *due <= now.0)
+                {
+                    self.slots[at].records.extend(records);
+                    let synced = fulmardrift::RaftInput::Synced(number);
+                    self.input(at, ReplicaInput::Raft(synced));
+                }
+            }
+            while let Some((_, to, input)) = self.net.pop_front_if(|(due, ..)| *due <= now.0) {
+                self.input(usize::try_from(to.0).unwrap() - 1, input);
+            }
+            while let Some(call) = self.calls.pop_front() {
+                let reply = self.server.call(now, &call);
+                self.agent_input(ServerAgentInput::Replied(call.id, reply));
+                if self.calls.len() > 64 {
+                    break;
+                }
+                if matches!(call.kind, fulmardrift::ServerCallKind::Hold { .. }) {
+                    // A hold call takes time: the next call is handled in the next millisecond.
+                    break;
+                }
+            }
+            if now.0.is_multiple_of(20) {
+                self.server.tick(now);
+                for at in 0..3 {
+                    self.input(at, ReplicaInput::Tick);
+                }
+                self.agent_input(ServerAgentInput::Tick);
+            }
+            if now.0.is_multiple_of(250) && self.agent_cut_off {
+                let until = now + ENTRY_GRANT;
+                self.agent_input(ServerAgentInput::Granted(Owner::Entry(ENTRY_LIFE), until));
+            } else if now.0.is_multiple_of(250) {
+                for at in 0..3 {
+                    self.input(
+                        at,
+                        ReplicaInput::Message(AGENT_SESSION, InitiatorMessage::Heartbeat(now)),
+                    );
+                }
+            }
+        }
+    }
+
+    /// Sends a call to one replica after the other until the leader has replied.
+    pub fn ask(&mut self, call: &Call) -> CallReply {
+        for _ in 0..200 {
+            for at in 0..3 {
+                self.last_token += 1;
+                let token = self.last_token;
+                self.input(at, ReplicaInput::Call(token, call.clone()));
+                self.run(60);
+                match self.replies.get(&token) {
+                    None | Some(CallReply::NotLeader | CallReply::Unknown) => {}
+                    Some(reply) => return reply.clone(),
+                }
+            }
+        }
+        panic!("no leader answered");
+    }
+
+    pub fn leader(&self) -> usize {
+        let leads = |slot: &Slot| slot.replica.as_ref().is_some_and(|r| r.raft().is_leader());
+        self.slots.iter().position(leads).unwrap()
+    }
+
+    pub fn job_status(&mut self, id: JobId) -> CallReply {
+        self.ask(&Call::Client {
+            host: "desk.example".to_owned(),
+            path: format!("/jobs/{id}"),
+            action: ClientAction::Query,
+        })
+    }
+
+    /// Returns true if no two runs of a task overlap, and no run follows one that succeeded and
+    /// whose end was confirmed to the backend server while its lease lasted.
+    pub fn runs_each_task_once(&self) -> bool {
+        for (i, a) in self.server.spans.iter().enumerate() {
+            for b in &self.server.spans[i + 1..] {
+                let done = a.outcome == Some(fulmardrift::RunOutcome::Done) && a.confirmed;
+                let ended_before = a.ended_at.is_some_and(|end| end <= b.started_at);
+                if a.task == b.task && (!ended_before || done) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
