Test that a group with a lost voter shrinks, and one above its target size

Cause: two rules of control/repair.rs had no test that failed without them: an even number of voters drops a silent one without a newcomer, and a group that an earlier program had let grow shrinks.

Change: replacement::four_voters_drop_one_that_is_gone_without_a_newcomer and replacement::a_group_above_its_target_size_shrinks; the fake group's target size is a field.

No code of the product changed.

--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -48,6 +48,8 @@
     pub disabled_guards: Vec<RaftGuard>,
     /// Where other instances may join: those that founded the group, and whether they have.
     pub founders: Option<Vec<u64>>,
+    /// Number of voters that such a group should have; that of its founders when it is created.
+    pub target_size: usize,
     pub founded: bool,
     last_request_id: u64,
     last_disk: u64,
@@ -79,6 +81,7 @@
             isolated: Vec::new(),
             answers: BTreeMap::new(),
             disabled_guards: disabled_guards.to_vec(),
+            target_size: founders.as_ref().map_or(0, Vec::len),
             founders,
             founded: false,
             last_request_id: 0,
@@ -147,7 +150,7 @@
         let mut raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
         if let Some(founders) = &self.founders {
             let founder = !self.founded && founders.contains(&id);
-            raft = raft.allow_joining(founder, founders.len());
+            raft = raft.allow_joining(founder, self.target_size);
         }
         let mut control = Control::new(raft).unwrap();
         for guard in &self.disabled_guards {
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -365,8 +365,6 @@
     let gone = (1..=5).find(|id| *id != leader).unwrap();
     let founders = group.founders.as_mut().unwrap();
     founders.retain(|id| *id != leader);
-    // The group has five voters, however many the newcomer is told of.
-    founders.push(gone);
     group.add(NEWCOMER);
     group.remove(gone);
     group.run_until("the newcomer votes", |g| {
@@ -376,3 +374,50 @@
         })
     });
 }
+
+/// Restarts all instances with another target size.
+fn restart_with_target(group: &mut Group, target: usize) {
+    group.target_size = target;
+    let all: Vec<u64> = group.instances.keys().copied().collect();
+    for id in &all {
+        group.kill(*id);
+    }
+    for id in all {
+        group.start(id);
+    }
+    group.run_until("a leader", |g| g.leader().is_some());
+}
+
+fn voter_count(group: &Group) -> usize {
+    let leader = group.leader();
+    leader.map_or(0, |id| group.control(id).raft().voters().len())
+}
+
+/// Four voters need three, so with one of them gone the next loss would end the group.
+#[test]
+fn four_voters_drop_one_that_is_gone_without_a_newcomer() {
+    let mut group = Group::joinable(3, &[]);
+    restart_with_target(&mut group, 5);
+    group.add(NEWCOMER);
+    group.run_until("four voters", |g| voter_count(g) == 4);
+    for _ in 0..2 {
+        let leader = group.leader().unwrap();
+        let gone = (1..=3).find(|id| *id != leader && group.instances.contains_key(id));
+        group.remove(gone.unwrap());
+        group.run_rounds(u32::try_from(SETTLE_MS / group::TICK.0).unwrap());
+        assert!(group.leader().is_some(), "no leader without {gone:?}");
+    }
+}
+
+/// What an earlier program had let grow shrinks to the target size.
+#[test]
+fn a_group_above_its_target_size_shrinks() {
+    let mut group = Group::joinable(3, &[RaftGuard::TargetSize]);
+    group.add(NEWCOMER);
+    group.run_until("four voters", |g| voter_count(g) == 4);
+    group.disabled_guards.clear();
+    restart_with_target(&mut group, 3);
+    group.run_until("three voters", |g| voter_count(g) == 3);
+    let request = change_request("after", "r1", "max_tasks", "7");
+    assert!(group.change(&request).is_ok());
+}
