--- a/src/dispatch/ejection.rs
+++ b/src/dispatch/ejection.rs
@@ -9,11 +9,11 @@
 
 /// Runs of two jobs must stall within this time. Those of a single job may stall on any worker.
 const WINDOW: Millis = Millis(1_000);
-/// First and longest ejection; each doubles if runs stall again soon after the last.
+/// Length of the first ejection, and of the longest.
 const FIRST_LENGTH: Millis = Millis(1_000);
 const MAX_LENGTH: Millis = Millis(4_000);
-/// The next ejection is as short as the first if none ended within this time.
-const MEMORY: Millis = Millis(10_000);
+/// Stalls that eject a worker within this time of its last ejection make the next one longer.
+const REPEAT_WINDOW: Millis = Millis(10_000);
 
 /// Whether a worker is ejected, and what led to it.
 #[derive(Debug, Default)]
@@ -40,7 +40,7 @@
         if self.is_active() || !other_job {
             return false;
         }
-        let is_repeated = self.length > Millis(0) && now.since(self.ended_at) < MEMORY;
+        let is_repeated = self.length > Millis(0) && now.since(self.ended_at) < REPEAT_WINDOW;
         self.length = if is_repeated {
             Millis(self.length.0 * 2).min(MAX_LENGTH)
         } else {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -491,49 +491,41 @@
 #[test]
 fn when_all_start_anew_nobody_waits_for_a_lease_that_is_gone() {
     for size in [3, 5] {
-        let mut group = Group::with_leader(size);
-        assert!(group.change(&set_max_tasks(5)).is_ok());
-        for id in 1..=size {
-            group.kill(id);
-        }
-        for id in 1..=size {
-            group.start(id);
-        }
-        let started_at = group.now;
-        group.run_until("a leader", |g| g.leader().is_some());
-        let waited = group.now.since(started_at);
-        assert!(
-            waited < group::timing().election,
-            "{waited:?} with {size} instances"
-        );
+        let mut group = elect_soon_after_restart(size, 0);
         group.run_rounds(20);
         assert_eq!(max_tasks(&group, 1), 5);
     }
 }
 
+/// Restarts all instances, some of them with empty disks. A leader must be found within an election
+/// timeout.
+fn elect_soon_after_restart(size: u64, lost: u64) -> Group {
+    let mut group = Group::with_leader(size);
+    assert!(group.change(&set_max_tasks(5)).is_ok());
+    for id in 1..=size {
+        group.kill(id);
+    }
+    for id in 1..=lost {
+        group.lose_disk(id);
+    }
+    for id in lost + 1..=size {
+        group.start(id);
+    }
+    let started_at = group.now;
+    group.run_until("a leader", |g| g.leader().is_some());
+    let waited = group.now.since(started_at);
+    assert!(
+        waited < group::timing().election,
+        "{waited:?} with {lost} of {size} disks lost"
+    );
+    group
+}
+
 /// A replica that starts with an empty disk is no longer the leader that it may have been.
 #[test]
 fn a_lost_disk_does_not_delay_the_election_when_all_start_anew() {
     for (size, lost) in [(3, 1), (5, 1), (5, 2)] {
-        let mut group = Group::with_leader(size);
-        assert!(group.change(&set_max_tasks(5)).is_ok());
-        group.run_rounds(20);
-        for id in 1..=size {
-            group.kill(id);
-        }
-        for id in 1..=lost {
-            group.lose_disk(id);
-        }
-        for id in lost + 1..=size {
-            group.start(id);
-        }
-        let started_at = group.now;
-        group.run_until("a leader", |g| g.leader().is_some());
-        let waited = group.now.since(started_at);
-        assert!(
-            waited < group::timing().election,
-            "{waited:?} with {lost} of {size} disks lost"
-        );
+        let mut group = elect_soon_after_restart(size, lost);
         group.run_until("all have it", |g| {
             (1..=size).all(|id| max_tasks(g, id) == 5)
         });
--- /dev/null
+++ b/tests/formats.rs
@@ -0,0 +1,65 @@
+//! Encodings that other versions of the program read: records on disk, and messages between
+//! processes. The bytes are those that an earlier version of the program wrote.
+
+use std::fmt::Write;
+
+use fulmardrift::{
+    AgentOrder, AgentReport, DiskId, Index, JobId, LogEntry, Payload, Position, Record, ReplicaId,
+    Resources, RunId, TaskId, Term, Voter,
+};
+
+/// The encoding of a value, as hexadecimal digits.
+fn encode<T: serde::Serialize>(value: &T) -> String {
+    let mut text = String::new();
+    for byte in postcard::to_stdvec(value).unwrap() {
+        write!(text, "{byte:02x}").unwrap();
+    }
+    text
+}
+
+fn task() -> TaskId {
+    TaskId {
+        job: JobId(7),
+        step: 1,
+        index: 2,
+    }
+}
+
+#[test]
+fn records_keep_their_encoding() {
+    let voters = vec![Voter {
+        id: ReplicaId(3),
+        disk: DiskId(300),
+    }];
+    let entry = LogEntry {
+        position: Position {
+            term: Term(2),
+            index: Index(5),
+        },
+        payload: Payload::Voters(voters),
+    };
+    let records = [
+        (Record::Disk(DiskId(300)), "00ac02"),
+        (Record::Vote(Term(2), Some(ReplicaId(3))), "01020103"),
+        (Record::Entries(vec![entry]), "02010205010103ac02"),
+    ];
+    for (record, bytes) in records {
+        assert_eq!(encode(&record), bytes, "{record:?}");
+    }
+}
+
+#[test]
+fn messages_keep_their_encoding() {
+    let (task, run) = (task(), RunId(9));
+    assert_eq!(encode(&AgentOrder::Stop { task, run }), "0207010209");
+    assert_eq!(encode(&AgentOrder::Revoke { task, run }), "0107010209");
+    let used = Resources {
+        cpu: 1_000,
+        memory: 10,
+        gpu: 0,
+    };
+    assert_eq!(encode(&AgentReport::OtherUsage(used)), "05e8070a00");
+    let progress = AgentReport::Progress(vec![(task, run, 40)]);
+    assert_eq!(encode(&progress), "06010701020928");
+    assert_eq!(encode(&AgentReport::Started(task, run)), "0207010209");
+}
