Review: a new leader doubles tasks of a worker that is not heard

A new leader takes an agent without an inventory for empty after 1.8 s, but renews its grant meanwhile. While the executor answers nothing, the agent keeps its runs alive, and the leader starts their tasks elsewhere.

--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -22,7 +22,7 @@
     match case {
         "resubmitted" => resubmitted(record, trouble),
         "impossible" => impossible(record, trouble),
-        "crashes" => crashes(record, trouble),
+        "handover" => handover(record, trouble),
         _ => Err(io::ErrorKind::NotFound.into()),
     }
 }
@@ -260,13 +260,14 @@
     events.iter().filter(of_job).count()
 }
 
-/// The executor that runs a stored job's task crashes; later the one on which it was started again.
-fn crashes(record: &Record, trouble: bool) -> io::Result<Verdict> {
+/// The leader of the control group is restarted as planned, while the executor that runs a stored
+/// job's task does not answer.
+fn handover(record: &Record, trouble: bool) -> io::Result<Verdict> {
     const ENTRIES: u8 = 2;
-    const CRASHES: u32 = 2;
     const WORK_MS: u64 = 6_000;
-    const BEFORE_CRASH_MS: u64 = 1_000;
-    const DOWN_MS: u64 = 4_500;
+    const BEFORE_MS: u64 = 1_000;
+    const MUTE: Duration = Duration::from_millis(4_000);
+    const END_MS: u64 = 14_000;
     let size = Size {
         entries: ENTRIES,
         executors: 4,
@@ -274,9 +275,8 @@
     };
     let mut fleet = Fleet::start(record.clone(), size)?;
     let client = client_of(&fleet, ENTRIES);
-    let id = new_id(1);
     let job = Job {
-        id,
+        id: new_id(1),
         tasks: 1,
         cpu: 6_200,
         work_ms: WORK_MS,
@@ -285,38 +285,32 @@
     if !client.hand_in(&job) {
         return Ok(Verdict::NotPlayed("the job was not accepted".to_owned()));
     }
-    for _ in 0..if trouble { CRASHES } else { 0 } {
-        let mut on = None;
-        wait_for(8_000, || {
-            on = fleet.executor_of(&job.id);
-            on.is_some()
-        });
-        let Some(number) = on else {
-            break;
-        };
-        sleep_ms(BEFORE_CRASH_MS);
-        fleet.kill_executor(number)?;
-        record.note(&format!("executor {number} crashes"));
-        sleep_ms(DOWN_MS);
-        fleet.start_executor(number)?;
-        record.note(&format!("executor {number} is back"));
+    sleep_ms(BEFORE_MS);
+    let (Some(number), Some(leader)) = (fleet.executor_of(&job.id), fleet.leader()) else {
+        return Ok(Verdict::NotPlayed(
+            "nothing runs, or nobody leads".to_owned(),
+        ));
+    };
+    if trouble {
+        fleet.mute_executor(number, MUTE)?;
+        record.note(&format!("executor {number} answers nothing for {MUTE:?}"));
     }
+    let name = format!("core-{leader}");
+    record.note(&format!("{name} gets SIGTERM"));
+    fleet.terminate(&name)?;
+    fleet.start_process(&name)?;
+    record.note(&format!("{name} is started again"));
     let mut state = String::new();
-    wait_for(30_000, || {
+    wait_for(END_MS, || {
         state = client.state(&job.id).unwrap_or_default();
         sleep_ms(500);
-        state == "completed" || state == "failed"
+        state == "completed"
     });
-    let failed = record
-        .events()
-        .iter()
-        .any(|event| matches!(&event.what, What::End { how, .. } if how == "failed"));
-    Ok(match state.as_str() {
-        "completed" => Verdict::Held("the job completed".to_owned()),
-        "failed" if !failed => {
-            Verdict::Broken("the job is shown as failed, though none of its runs failed".to_owned())
-        }
-        "failed" => Verdict::NotPlayed("a run failed".to_owned()),
-        _ => Verdict::Broken(format!("the job did not end: {state}")),
+    let doubled = overlaps(&record.events());
+    Ok(match doubled.first() {
+        Some(first) => Verdict::Broken(first.clone()),
+        None => Verdict::Held(format!(
+            "no two runs of a task overlapped; the job is {state}"
+        )),
     })
 }
--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::executor::{HEARTBEAT, Options};
+use crate::executor::{HEARTBEAT, MUTE_HEADER, Options};
 use crate::http::{self, Message};
 use crate::record::{Record, unix_ms};
 
@@ -55,6 +55,8 @@
 /// Longest time that a caller of the control plane or of readiness waits.
 const CALL_WAIT: Duration = Duration::from_secs(1);
 const START_LIMIT: Duration = Duration::from_secs(20);
+/// A process is killed this long after SIGTERM, `grace_s`.
+const GRACE: Duration = Duration::from_secs(6);
 const POLL: Duration = Duration::from_millis(100);
 
 /// Whether a process is an executor or one of the project's own.
@@ -239,6 +241,40 @@
         Ok(())
     }
 
+    /// Ends a process with SIGTERM and waits until it has ended.
+    pub fn terminate(&mut self, name: &str) -> io::Result<()> {
+        let process = self.processes.get_mut(name).ok_or(ErrorKind::NotFound)?;
+        if let Some(mut child) = process.child.take() {
+            let id = child.id().to_string();
+            Command::new("kill").args(["-TERM", &id]).status()?;
+            let limit = Instant::now() + GRACE;
+            while child.try_wait()?.is_none() {
+                if Instant::now() > limit {
+                    child.kill()?;
+                }
+                thread::sleep(POLL);
+            }
+        }
+        Ok(())
+    }
+
+    /// The control instance that answers for the group.
+    pub fn leader(&self) -> Option<u8> {
+        (1..=CONTROLS).find(|number| {
+            let to = self.at("core", *number, CONTROL);
+            let answer = http::request(to, "GET", "/config", &[], "", CALL_WAIT);
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+    }
+
+    /// Has an executor answer nothing for a while; it does what it is told to.
+    pub fn mute_executor(&self, number: u8, wait: Duration) -> io::Result<()> {
+        let to = self.at("side", number, APP);
+        let wait = wait.as_millis().to_string();
+        let headers = [(MUTE_HEADER, wait.as_str())];
+        http::request(to, "POST", "/mute", &headers, "", CALL_WAIT).map(|_| ())
+    }
+
     /// Starts the next life of an executor.
     pub fn start_executor(&mut self, number: u8) -> io::Result<()> {
         let life = self.lives.entry(number).or_insert(0);
@@ -264,14 +300,6 @@
         self.start_process(&name)
     }
 
-    /// Kills an executor, and what runs on it.
-    pub fn kill_executor(&mut self, number: u8) -> io::Result<()> {
-        let id = self.executor_id(number);
-        self.kill(&executor_name(number))?;
-        self.record.killed(&id);
-        Ok(())
-    }
-
     /// The id of an executor's present life.
     pub fn executor_id(&self, number: u8) -> String {
         match &self.processes[&executor_name(number)].program {
