Repeat a stop that was lost with an agent's session

Jobs answered 504 and submitted again ran beside their former runs on a backend server whose agent was restarted at that moment.

Cause: drop_job sent the stop only to agents with a session, and did not mark the run as stopping otherwise; an order in a dead session was lost. adopt_run returned at once for a run that the dispatcher still held, so the agent's next inventory did not bring the stop either.

Change: runs of a dropped job are marked as stopping in any case, and the stop is repeated for each listed run that should be stopping.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -8,10 +8,10 @@
 use super::guard::{Guards, JobGuard};
 use super::live::{LiveJob, Outlook, TaskPhase};
 use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
-use super::reports::send_recorded;
+use super::reports::{order_stop, send_recorded};
 use super::spec::{JobId, JobStatus, QueueSettings};
 use super::suspects::Suspects;
-use super::wire::{AcceptorMessage, AgentOrder};
+use super::wire::AcceptorMessage;
 use super::worker::{SessionId, Worker, WorkerId};
 use crate::control::log::Term;
 use crate::core::clock::Millis;
@@ -311,20 +311,10 @@
         let age = job.map_or(Millis(0), |j| now.since(j.received_at));
         events::JOB_ENDED.log(format_args!("job={id} state={status:?} after_ms={}", age.0));
         for worker in &mut self.workers {
-            let Some(session) = worker.session else {
-                continue;
-            };
             for ((task, run), placed) in worker.runs.iter_mut() {
                 if task.job == id && !placed.stopping {
                     placed.stopping = true;
-                    let order = AgentOrder::Stop {
-                        task: *task,
-                        run: *run,
-                    };
-                    out.push(DispatchOutput::Message(
-                        session,
-                        AcceptorMessage::Order(order),
-                    ));
+                    order_stop(worker.session, (*task, *run), out);
                 }
             }
         }
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -191,7 +191,8 @@
     }
 
     /// Adds a run that an agent lists and this dispatcher does not hold, usually one that a former
-    /// leader ordered. If its task does not need the run, the run is stopped.
+    /// leader ordered. If its task does not need the run, the run is stopped. A run that should be
+    /// stopping already is stopped again, as the order may have been lost with a session.
     pub(crate) fn adopt_run(
         &mut self,
         now: Millis,
@@ -199,7 +200,11 @@
         (task, run): (TaskId, RunId),
         out: &mut Vec<DispatchOutput>,
     ) {
-        if self.workers[id.0].runs.get(&(task, run)).is_some() {
+        let worker = &self.workers[id.0];
+        if let Some(placed) = worker.runs.get(&(task, run)) {
+            if placed.stopping {
+                order_stop(worker.session, (task, run), out);
+            }
             return;
         }
         let job = self.jobs.get(&task.job);
@@ -229,11 +234,8 @@
         };
         let worker = &mut self.workers[id.0];
         worker.add_run((task, run), placed);
-        if let (false, Some(session)) = (adopted, worker.session) {
-            out.push(DispatchOutput::Message(
-                session,
-                AcceptorMessage::Order(AgentOrder::Stop { task, run }),
-            ));
+        if !adopted {
+            order_stop(worker.session, (task, run), out);
         }
     }
 
@@ -492,6 +494,18 @@
     }
 }
 
+/// Orders an agent to stop a run. Without a session, the order follows the next inventory.
+pub(crate) fn order_stop(
+    session: Option<SessionId>,
+    (task, run): (TaskId, RunId),
+    out: &mut Vec<DispatchOutput>,
+) {
+    if let Some(session) = session {
+        let order = AcceptorMessage::Order(AgentOrder::Stop { task, run });
+        out.push(DispatchOutput::Message(session, order));
+    }
+}
+
 pub(crate) fn send_recorded(worker: &Worker, out: &mut Vec<DispatchOutput>) {
     if let Some(session) = worker.session {
         let message = AcceptorMessage::Recorded {
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -317,3 +317,25 @@
         assert_eq!(span.run.0 >> TERM_SHIFT, term.0, "{span:?}");
     }
 }
+
+/// Guards against a cancelled job whose runs go on, as the order to stop them had no session.
+#[test]
+fn a_job_cancelled_while_its_agent_is_away_is_stopped_when_it_is_back() {
+    let mut group = TestGroup::new(20_000);
+    let submit = submit(JobId(7), job(2, 20_000, false));
+    assert_eq!(group.ask(&submit), CallReply::Done);
+    group.run(100);
+    assert_eq!(group.server.run_count(), 2);
+    group.cut_off_agent();
+    let cancel = Call::Client {
+        host: "desk.example".to_owned(),
+        path: format!("/jobs/{}", JobId(7)),
+        action: ClientAction::Cancel,
+    };
+    assert_eq!(group.ask(&cancel), CallReply::Done);
+    group.reconnect_agent();
+    group.run(300);
+    assert_eq!(group.server.run_count(), 0);
+    group.run(3_000);
+    assert!(group.server.spans.len() == 2 && group.runs_each_task_once());
+}
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -395,3 +395,22 @@
     // The refused one has not run.
     assert_eq!(fleet.spans().len(), 1);
 }
+
+/// Guards against a stop that is lost with an agent's session: the run goes on beside that of the
+/// job when it is submitted again at another entry.
+#[test]
+fn a_stop_that_is_lost_with_a_session_is_repeated() {
+    for ms_before in [1, 20, 45] {
+        let mut fleet = Fleet::new(2, 1, 4_000);
+        fleet.call(0, 1, submit(JobId(7), job(2, 4_000, true)), 9_000);
+        fleet.run(100);
+        fleet.restart_agent(0);
+        fleet.run(ms_before);
+        fleet.router_input(0, CallRouterInput::Left(1));
+        fleet.run(RESUBMIT_AFTER);
+        fleet.call(1, 2, submit(JobId(7), job(2, 4_000, true)), 9_000);
+        fleet.run(5_000);
+        assert_eq!(fleet.answer(1, 2), Some(&COMPLETED));
+        assert_eq!(fleet.overlaps(), [], "{ms_before} ms after the restart");
+    }
+}
