Renew no grant of an agent that a new leader waits for

With a backend server that answers nothing, a new leader started its task elsewhere 1.8 s after the take-over, while the first run went on.

Cause: after the time of one grant the leader counts agents without an inventory as empty, but on_heartbeat renewed their grants all the while. The agent's hold calls, executed without an answer, extended the lease of the run.

Change: heartbeats of awaited agents renew nothing; the inventory renews the grant, counted from the agent's latest heartbeat. That heartbeat came while this leader held its lease, so the grant ends in time for the next one.

--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -467,7 +467,7 @@
                 ));
             }
             InitiatorMessage::Heartbeat(at) => {
-                let known = self.dispatcher.on_heartbeat(now, session);
+                let known = self.dispatcher.on_heartbeat(now, session, at);
                 let grant = known.then_some(DispatcherId::Entry(self.life).grant());
                 out.push(CallRouterOutput::Message(
                     session,
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -265,7 +265,7 @@
             InitiatorMessage::Heartbeat(at) => {
                 let leads = self.raft.holds_lease(now);
                 let known = match &mut self.dispatcher {
-                    Some(dispatcher) if leads => dispatcher.on_heartbeat(now, session),
+                    Some(dispatcher) if leads => dispatcher.on_heartbeat(now, session, at),
                     _ => false,
                 };
                 let grant = known.then_some(GROUP_GRANT);
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -28,6 +28,7 @@
         }
         self.by_session.insert(session, id);
         worker.has_inventory = false;
+        worker.heartbeat_at = None;
         worker.last_heard_at = now;
         worker.last_granted_at = now;
         // Only the group's agents must be in the log, for the next leader to wait for them.
@@ -60,16 +61,34 @@
         }
     }
 
-    /// Handles an agent's heartbeat. Returns true if the agent's grant may be renewed.
-    pub(crate) fn on_heartbeat(&mut self, now: Millis, session: SessionId) -> bool {
+    /// Handles an agent's heartbeat, sent at `at` of the agent's clock. Returns true if the agent's
+    /// grant may be renewed. That of an awaited agent must run out by the deadline, as its runs
+    /// count as ended then; its inventory renews the grant.
+    pub(crate) fn on_heartbeat(&mut self, now: Millis, session: SessionId, at: Millis) -> bool {
         let Some(id) = self.by_session.get(&session).copied() else {
             return false;
         };
-        self.workers[id.0].last_heard_at = now;
-        self.workers[id.0].last_granted_at = now;
+        let worker = &mut self.workers[id.0];
+        worker.last_heard_at = now;
+        if self.awaited.binary_search(&worker.agent).is_ok() {
+            worker.heartbeat_at = Some(at);
+            return false;
+        }
+        worker.last_granted_at = now;
         true
     }
 
+    /// Grants an agent whose inventory was awaited the time that its latest heartbeat asked for.
+    fn grant_awaited(&mut self, now: Millis, id: WorkerId, out: &mut Vec<DispatchOutput>) {
+        let grant = Some(self.id.grant());
+        let worker = &mut self.workers[id.0];
+        if let (Some(at), Some(session)) = (worker.heartbeat_at.take(), worker.session) {
+            worker.last_granted_at = now;
+            let ack = AcceptorMessage::HeartbeatAck { at, grant };
+            out.push(DispatchOutput::Message(session, ack));
+        }
+    }
+
     /// Handles a report from an agent. `state` is `None` for an entry's dispatcher.
     pub(crate) fn on_report(
         &mut self,
@@ -176,6 +195,7 @@
         }
         if let Ok(at) = self.awaited.binary_search(&agent) {
             self.awaited.remove(at);
+            self.grant_awaited(now, id, out);
             if self.awaited.is_empty() {
                 self.release_unknown_tasks(now);
             }
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -83,6 +83,8 @@
     pub(crate) last_heard_at: Millis,
     /// When the agent's grant was last renewed.
     pub(crate) last_granted_at: Millis,
+    /// The agent's clock at its latest heartbeat on this session that renewed no grant.
+    pub(crate) heartbeat_at: Option<Millis>,
     /// Mean ratio of a run's duration here to that on an average worker; below 1 is faster.
     pub(crate) pace: f64,
     // The worker reported that it has no free resources; it is passed over until this time.
@@ -117,6 +119,7 @@
             suspects: 0,
             last_heard_at: now,
             last_granted_at: now,
+            heartbeat_at: None,
             pace: 1.0,
             full_until: Millis(0),
             ejected: false,
--- a/tests/deadly_stored_tasks.rs
+++ b/tests/deadly_stored_tasks.rs
@@ -9,9 +9,7 @@
 mod stored;
 
 use fulmardrift::{
-    AcceptorMessage, AgentOrder, AgentReport, CallReply, Initiator, InitiatorMessage, JobId,
-    JobStatus, Millis, ReplicaInput, Resources, RunEnd, RunId, RunOutcome, Server, SessionId,
-    TaskId,
+    AgentReport, CallReply, JobId, JobStatus, Millis, RunEnd, RunId, RunOutcome, TaskId,
 };
 
 use fleet::{job, submit};
@@ -156,7 +154,6 @@
     }
 }
 
-const OTHER_AGENT: SessionId = SessionId(2);
 const LONG_MS: u64 = 5_000;
 const TASK: TaskId = TaskId {
     job: DEADLY_JOB,
@@ -175,11 +172,7 @@
     let former = group.leader();
     group.kill(former);
     group.cut_off_agent();
-    let is_led = |group: &TestGroup| {
-        let mut replicas = group.slots.iter().filter_map(|s| s.replica.as_ref());
-        replicas.any(|r| r.raft().holds_lease(group.now))
-    };
-    while !is_led(&group) {
+    while !group.is_led() {
         group.run(1);
     }
     group.run(20);
@@ -193,43 +186,15 @@
     // Well within the time for which the unheard agent may act for the group.
     const UNHEARD_MS: u64 = 300;
     let (mut group, leader) = group_with_unheard_agent();
-    let raft = group.slots[leader].replica.as_ref().unwrap().raft();
-    let inventory = AgentReport::Inventory {
-        epoch: raft.term().0,
-        server: Some(Server {
-            life: 2,
-            id: "s1".to_owned(),
-            service: "desk".to_owned(),
-            data_centre: "dc0".to_owned(),
-            capacity: Resources {
-                cpu: 4_000,
-                memory: 4_000,
-                gpu: 0,
-            },
-            labels: Vec::new(),
-            leaving: false,
-        }),
-        runs: Vec::new(),
-    };
-    let hello = InitiatorMessage::Hello(Initiator::Agent("other".to_owned()));
-    group.input(leader, ReplicaInput::Message(OTHER_AGENT, hello));
-    let reports = reports_before.iter().chain([&inventory]);
-    for report in reports.chain(reports_after) {
-        let report = InitiatorMessage::Report(report.clone());
-        group.input(leader, ReplicaInput::Message(OTHER_AGENT, report));
-    }
+    group.connect_other_agent(leader, reports_before, reports_after);
     group.run(UNHEARD_MS);
     assert_eq!(group.server.run_count(), 1);
-    let is_start = |(_, message): &(SessionId, AcceptorMessage)| {
-        matches!(message, AcceptorMessage::Order(AgentOrder::Start { .. }))
-    };
-    assert!(!group.other_messages.iter().any(is_start));
+    assert!(!group.other_agent_has_order());
     for _ in 0..40 {
         group.run(100);
-        let heartbeat = InitiatorMessage::Heartbeat(group.now);
-        group.input(leader, ReplicaInput::Message(OTHER_AGENT, heartbeat));
+        group.send_other_heartbeat(leader);
     }
-    assert!(group.other_messages.iter().any(is_start));
+    assert!(group.other_agent_has_order());
 }
 
 /// Guards against a second run beside the first: a new leader learns of an earlier crash under the
--- a/tests/fakes/stored.rs
+++ b/tests/fakes/stored.rs
@@ -5,10 +5,10 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use fulmardrift::{
-    AcceptorMessage, AgentTimes, Call, CallReply, ClientAction, DiskId, Durable, Initiator,
-    InitiatorMessage, JobGuard, JobId, Millis, Owner, Raft, RaftOutput, RaftTiming, Record,
-    Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, ServerAgent, ServerAgentInput,
-    ServerAgentOutput, SessionId, Term,
+    AcceptorMessage, AgentOrder, AgentReport, AgentTimes, Call, CallReply, ClientAction, DiskId,
+    Durable, Initiator, InitiatorMessage, JobGuard, JobId, Millis, Owner, Raft, RaftOutput,
+    RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, Resources,
+    Server, ServerAgent, ServerAgentInput, ServerAgentOutput, ServerReply, SessionId, Term,
 };
 
 use super::fleet::{MAX_LEASE, config};
@@ -25,6 +25,7 @@
 /// Duration of a disk sync, in milliseconds.
 const SYNC_MS: u64 = 9;
 const AGENT_SESSION: SessionId = SessionId(1);
+const OTHER_AGENT: SessionId = SessionId(2);
 /// Incarnation number of an entry that keeps its session with the agent.
 const ENTRY_LIFE: u64 = 77;
 const ENTRY_GRANT: Millis = Millis(800);
@@ -51,6 +52,8 @@
     pub agent_cut_off: bool,
     /// Safety rules that are turned off.
     pub disabled: Vec<JobGuard>,
+    /// The backend server executes all calls, but its answers do not arrive.
+    pub is_mute: bool,
     /// Messages on sessions of other agents, which a test plays itself.
     pub other_messages: Vec<(SessionId, AcceptorMessage)>,
 }
@@ -76,6 +79,7 @@
             last_token: 0,
             agent_cut_off: false,
             disabled: disabled.to_vec(),
+            is_mute: false,
             other_messages: Vec::new(),
         };
         for guard in disabled {
@@ -258,7 +262,10 @@
                 self.input(usize::try_from(to.0).unwrap() - 1, input);
             }
             while let Some(call) = self.calls.pop_front() {
-                let reply = self.server.call(now, &call);
+                let mut reply = self.server.call(now, &call);
+                if self.is_mute {
+                    reply = ServerReply::NoAnswer;
+                }
                 self.agent_input(ServerAgentInput::Replied(call.id, reply));
                 if self.calls.len() > 64 {
                     break;
@@ -310,6 +317,60 @@
         panic!("no leader answered");
     }
 
+    /// Another agent, whose worker is idle, connects to a replica that leads. It sends some reports
+    /// before and after its inventory.
+    pub fn connect_other_agent(
+        &mut self,
+        leader: usize,
+        before: &[AgentReport],
+        after: &[AgentReport],
+    ) {
+        let raft = self.slots[leader].replica.as_ref().unwrap().raft();
+        let inventory = AgentReport::Inventory {
+            epoch: raft.term().0,
+            server: Some(Server {
+                life: 2,
+                id: "s1".to_owned(),
+                service: "desk".to_owned(),
+                data_centre: "dc0".to_owned(),
+                capacity: Resources {
+                    cpu: 4_000,
+                    memory: 4_000,
+                    gpu: 0,
+                },
+                labels: Vec::new(),
+                leaving: false,
+            }),
+            runs: Vec::new(),
+        };
+        let hello = InitiatorMessage::Hello(Initiator::Agent("other".to_owned()));
+        self.input(leader, ReplicaInput::Message(OTHER_AGENT, hello));
+        for report in before.iter().chain([&inventory]).chain(after) {
+            let report = InitiatorMessage::Report(report.clone());
+            self.input(leader, ReplicaInput::Message(OTHER_AGENT, report));
+        }
+    }
+
+    /// The other agent sends a heartbeat to a replica.
+    pub fn send_other_heartbeat(&mut self, leader: usize) {
+        let heartbeat = InitiatorMessage::Heartbeat(self.now);
+        self.input(leader, ReplicaInput::Message(OTHER_AGENT, heartbeat));
+    }
+
+    /// True once the other agent was ordered to start a run.
+    pub fn other_agent_has_order(&self) -> bool {
+        let is_start = |(_, message): &(SessionId, AcceptorMessage)| {
+            matches!(message, AcceptorMessage::Order(AgentOrder::Start { .. }))
+        };
+        self.other_messages.iter().any(is_start)
+    }
+
+    /// True while a replica leads and may act as the leader.
+    pub fn is_led(&self) -> bool {
+        let mut replicas = self.slots.iter().filter_map(|s| s.replica.as_ref());
+        replicas.any(|r| r.raft().holds_lease(self.now))
+    }
+
     pub fn leader(&self) -> usize {
         let leads = |slot: &Slot| slot.replica.as_ref().is_some_and(|r| r.raft().is_leader());
         self.slots.iter().position(leads).unwrap()
