Count the runs of an unreachable backend server until its lease has expired

What callers saw: TWICE, from the users' machines. Tasks started again within 9 ms while their first runs went on to their end at a backend server whose agent heard nothing of it for 2.5 s. That this was the cause there is not proved: the record has no log of that agent.

Cause: after two refused connections the agent took the process for ended (E512) and reported its runs as over. A proxy, a full backlog or a cut may refuse connections to a process that runs on.

Evidence: the new test in tests/transient_jobs.rs; without the change each of the four tasks overlapped with its second run already at 100 ms of refusals.

Change: E512 keeps new runs away and makes the runs there suspects at once (Unreachable, a new report), but they count until the lease has expired. A call without a connection extends no lease; this covers connections that time out too. The lease that a former agent may have given is counted from this agent's start, not from each new incarnation.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -122,8 +122,10 @@
     pub(crate) evacuated: Vec<String>,
     // A reading of the backend server's clock, with the time of the agent's clock at that moment.
     pub(crate) server_clock: Option<(Millis, Millis)>,
-    // Latest time, by the agent's clock, at which the backend server's lease may still be valid.
+    // Latest time, by the agent's clock, at which a lease from the calls that have ended may still
+    // be valid, and the same for each open call.
     pub(crate) lease_expires_at: Millis,
+    pub(crate) open_leases: Table<CallId, Millis>,
     pub(crate) runs: Table<(TaskId, RunId), AgentRun>,
     pub(crate) ends: Vec<RetainedEnd>,
     // The highest numbers of the ends that the agent knows, and of those that the backend server
@@ -171,6 +173,7 @@
             evacuated: Vec::new(),
             server_clock: None,
             lease_expires_at: Millis(0),
+            open_leases: Table::default(),
             runs: Table::default(),
             ends: Vec::new(),
             last_known_end: 0,
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -4,7 +4,7 @@
 use super::agent_run::RunPhase;
 use super::dispatcher_link::Owner;
 use super::guard::JobGuard;
-use super::server_call::{CallId, ServerCall, ServerCallKind};
+use super::server_call::{CallId, ServerCall, ServerCallKind, ServerReply};
 use super::spec::{RunId, TaskId};
 use crate::core::clock::Millis;
 
@@ -12,6 +12,9 @@
 /// Several calls fit into one lease, so that the lease survives the loss of one.
 const HOLD_WAIT: Millis = Millis(100);
 const HOLD_WAIT_IDLE: Millis = Millis(300);
+/// Longest lease given at a time. What is lost with a backend server starts elsewhere only when it has
+/// expired; an agent that is away for longer loses its runs.
+const LEASE: Millis = Millis(300);
 /// Percentage by which the backend server's clock may run slow.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
 /// Added to a lease before it is considered expired: the time of one call on the same machine.
@@ -32,14 +35,14 @@
         let Some(lease_expires_at) = self.lease_end(now) else {
             return;
         };
-        self.raise_lease_bound(now, self.lease_length(now));
+        let bound = now + max_lease_duration(self.lease_length(now));
         let kind = ServerCallKind::Start {
             task,
             run,
             payload,
             lease_expires_at,
         };
-        self.call(PendingCall::Start(task, run), kind, out);
+        self.call_with_lease(bound, PendingCall::Start(task, run), kind, out);
     }
 
     pub(crate) fn stop(
@@ -64,7 +67,10 @@
 
     /// Returns how long a lease given now may last; zero if none may be given.
     pub(crate) fn lease_length(&self, now: Millis) -> Millis {
-        self.times.max_lease.min(self.grant_limit().since(now))
+        self.times
+            .max_lease
+            .min(LEASE)
+            .min(self.grant_limit().since(now))
     }
 
     /// Returns the time, on the agent's clock, that the lease must not outlast. A lease covers
@@ -91,9 +97,34 @@
         }
     }
 
-    /// Raises the latest possible expiry of the lease for one of this length given now.
-    pub(crate) fn raise_lease_bound(&mut self, now: Millis, length: Millis) {
-        self.lease_expires_at = self.lease_expires_at.max(now + max_lease_duration(length));
+    /// The latest time, by the agent's clock, at which the backend server's lease may still be
+    /// valid.
+    pub(crate) fn lease_bound(&self) -> Millis {
+        let open = self.open_leases.iter().map(|(_, bound)| *bound).max();
+        self.lease_expires_at.max(open.unwrap_or(Millis(0)))
+    }
+
+    /// A call that would have extended the lease has ended. The lease is as before if the backend
+    /// server did not get the call.
+    pub(crate) fn settle_lease(&mut self, id: CallId, reply: &ServerReply) {
+        let bound = self.open_leases.remove(&id);
+        if *reply != ServerReply::Unreachable {
+            self.lease_expires_at = self.lease_expires_at.max(bound.unwrap_or(Millis(0)));
+        }
+    }
+
+    /// Makes a call that extends the lease until `bound` at the latest, by the agent's clock.
+    fn call_with_lease(
+        &mut self,
+        bound: Millis,
+        pending: PendingCall,
+        kind: ServerCallKind,
+        out: &mut Vec<ServerAgentOutput>,
+    ) {
+        if self.server.is_some() {
+            self.call(pending, kind, out);
+            self.open_leases.insert(self.last_call, bound);
+        }
     }
 
     /// Stops the runs whose start got no answer from a former incarnation of the backend server.
@@ -151,9 +182,6 @@
             return;
         }
         let lease_expires_at = self.lease_end(now);
-        if lease_expires_at.is_some() {
-            self.raise_lease_bound(now, self.lease_length(now));
-        }
         self.open_holds += 1;
         self.last_hold_sent_at = now;
         let pending = PendingCall::Hold {
@@ -166,7 +194,12 @@
             lease_expires_at,
             max_wait,
         };
-        self.call(pending, kind, out);
+        if lease_expires_at.is_some() {
+            let bound = now + max_lease_duration(self.lease_length(now));
+            self.call_with_lease(bound, pending, kind, out);
+        } else {
+            self.call(pending, kind, out);
+        }
     }
 }
 
--- a/src/dispatch/agent_crashes.rs
+++ b/src/dispatch/agent_crashes.rs
@@ -16,8 +16,8 @@
 /// Entries that connect within this time learn of evidence against a queue; longer than a queue is
 /// isolated without another crash.
 const KEEP_EVIDENCE: Millis = Millis(10_000);
-/// Calls in a row that find nothing listening, after which the process is known to have ended.
-const REFUSED_TO_END: u32 = 2;
+/// Calls in a row without a connection, after which the process has probably ended.
+const MAX_UNREACHABLE: u32 = 2;
 
 type RunKeys = Vec<(TaskId, RunId)>;
 
@@ -55,16 +55,16 @@
 pub(crate) struct CrashLog {
     recent: Vec<Crash>,
     evidence: Vec<(Millis, Evidence)>,
-    // Calls in a row that found nothing listening.
-    refused: u32,
+    // Calls in a row without a connection.
+    unreachable: u32,
     // The last hold call's connection was closed before the answer.
     broken: bool,
-    // The process of the present incarnation has ended.
+    // The present incarnation accepts no connections.
     down: bool,
 }
 
 impl CrashLog {
-    /// True when the process of the present incarnation has ended and none has taken its place yet.
+    /// True while the present incarnation accepts no connections.
     pub(crate) fn is_down(&self) -> bool {
         self.down
     }
@@ -93,7 +93,7 @@
     /// replaced. One that had announced its end has not crashed.
     pub(crate) fn report_crash(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
         self.crash_log.down = false;
-        self.crash_log.refused = 0;
+        self.crash_log.unreachable = 0;
         let (runs, unanswered) = self.split_runs();
         self.log_crash(now, runs, unanswered, out);
     }
@@ -112,8 +112,9 @@
         (runs, unanswered)
     }
 
-    /// Learns from an answer, or the lack of one, whether the backend server's process still runs.
-    /// An agent is on the same machine, where a refused connection means that no process listens.
+    /// Learns from an answer, or the lack of one, whether the backend server can be used. A process
+    /// that accepts no connections may still run, with a full backlog or behind a proxy. Its runs count
+    /// until the lease has expired.
     pub(crate) fn watch_process(
         &mut self,
         now: Millis,
@@ -121,22 +122,24 @@
         out: &mut Vec<ServerAgentOutput>,
     ) {
         match reply {
-            ServerReply::NotListening => self.crash_log.refused += 1,
+            ServerReply::Unreachable => self.crash_log.unreachable += 1,
             ServerReply::Disconnected | ServerReply::NoAnswer => {}
-            _ => self.crash_log.refused = 0,
+            _ => self.crash_log.unreachable = 0,
         }
         let is_leaving = self.server.as_ref().is_none_or(|s| s.leaving);
-        if self.crash_log.refused < REFUSED_TO_END || self.crash_log.down || is_leaving {
+        if self.crash_log.unreachable < MAX_UNREACHABLE || self.crash_log.down || is_leaving {
             return;
         }
         self.crash_log.down = true;
-        events::SERVER_ENDED.log(format_args!(
-            "life={} runs={} tasks={}",
+        events::SERVER_UNREACHABLE.log(format_args!(
+            "life={} runs={} lease_ms={} tasks={}",
             self.life(),
             self.runs.len(),
+            self.lease_bound().since(now).0,
             list_tasks(self.held_runs())
         ));
-        self.drop_ended_runs(now, out);
+        let (runs, unanswered) = self.split_runs();
+        self.report_to_informed(&self.unreachable_report(runs, unanswered), out);
     }
 
     /// Returns true if the backend server should be called again at once, to learn whether its
@@ -148,15 +151,26 @@
         );
         match reply {
             ServerReply::Disconnected => !was_broken,
-            ServerReply::NotListening => !self.crash_log.down,
+            ServerReply::Unreachable => !self.crash_log.down,
             _ => false,
         }
     }
 
-    /// Drops the runs that have ended with the process. A start without an answer may still reach
-    /// the next incarnation, so it is kept until that one refuses it.
-    fn drop_ended_runs(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
+    /// Drops the runs of a process that accepts no connections, now that its lease has expired: it
+    /// has crashed, or has ended them. A start without an answer may still reach the next incarnation, so
+    /// it is kept until that one refuses it.
+    pub(crate) fn drop_crashed_runs(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
         let (runs, unanswered) = self.split_runs();
+        let void_ends = self.ends.iter().filter(|end| end.limits_lease()).count();
+        if runs.len() + void_ends == 0 {
+            return;
+        }
+        events::LEASE_LAPSED.log(format_args!(
+            "life={} runs={} ends={void_ends}",
+            self.life(),
+            runs.len()
+        ));
+        self.void_ends();
         for key in &runs {
             self.runs.remove(key);
         }
@@ -203,15 +217,21 @@
         self.runs.iter().map(|(key, _)| *key)
     }
 
-    /// Tells a dispatcher that has just got the inventory that the process in it has ended.
+    /// Tells a dispatcher that has just got the inventory that the backend server in it cannot be
+    /// reached.
     pub(crate) fn report_if_down(&self, owner: Owner, out: &mut Vec<ServerAgentOutput>) {
         if self.crash_log.is_down() {
-            let crash = AgentReport::Crashed {
-                life: self.life(),
-                runs: Vec::new(),
-                unanswered: Vec::new(),
-            };
-            out.push(ServerAgentOutput::Report(owner, crash));
+            let (runs, unanswered) = self.split_runs();
+            let report = self.unreachable_report(runs, unanswered);
+            out.push(ServerAgentOutput::Report(owner, report));
+        }
+    }
+
+    fn unreachable_report(&self, runs: RunKeys, unanswered: RunKeys) -> AgentReport {
+        AgentReport::Unreachable {
+            life: self.life(),
+            runs,
+            unanswered,
         }
     }
 
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -31,6 +31,7 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
+        self.settle_lease(id, &reply);
         if reply == ServerReply::Fenced {
             self.min_token = self.term.0.max(self.min_token) + 1;
             events::FENCED.log(format_args!(
@@ -85,7 +86,7 @@
                 self.report(owner, AgentReport::Started(key.0, key.1), out);
             }
             ServerReply::Denied(reason) => self.drop_not_started(key, *reason, "server", out),
-            ServerReply::OtherInstance | ServerReply::Fenced | ServerReply::NotListening => {
+            ServerReply::OtherInstance | ServerReply::Fenced | ServerReply::Unreachable => {
                 self.drop_not_started(key, Denial::Closed, "server", out);
             }
             ServerReply::Disconnected
@@ -167,8 +168,9 @@
         let former_term = if let Some((_, term)) = self.listed_under {
             term
         } else {
-            // An earlier incarnation of this agent may have given a full lease.
-            self.raise_lease_bound(now, self.times.max_lease);
+            // An earlier incarnation of this agent may have given a full lease before its end.
+            let until = self.unknown_runs_until.unwrap_or(now);
+            self.lease_expires_at = self.lease_expires_at.max(until);
             Term(0)
         };
         self.listed_under = Some((life, term.max(former_term)));
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -116,7 +116,11 @@
     /// more. Unrecorded ends of stored jobs' tasks no longer count either: those tasks may have
     /// been started elsewhere.
     pub(crate) fn drop_lapsed_runs(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        if now <= self.lease_expires_at {
+        if now <= self.lease_bound() {
+            return;
+        }
+        if self.crash_log.is_down() {
+            self.drop_crashed_runs(now, out);
             return;
         }
         let runs = self.runs.len();
@@ -129,9 +133,7 @@
             self.life()
         ));
         self.runs = Table::default();
-        for end in &mut self.ends {
-            end.recorded |= end.owner == Owner::Group;
-        }
+        self.void_ends();
         self.listed_under = None;
         for (owner, dispatcher) in self.dispatchers.iter_mut() {
             if dispatcher.has_inventory {
@@ -146,6 +148,13 @@
         }
     }
 
+    /// Ends of stored jobs' tasks no longer count once the lease has expired.
+    pub(crate) fn void_ends(&mut self) {
+        for end in &mut self.ends {
+            end.recorded |= end.owner == Owner::Group;
+        }
+    }
+
     /// Marks the ends as recorded that no dispatcher will record any more.
     pub(crate) fn release_unclaimed_ends(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
         for end in &mut self.ends {
--- a/src/dispatch/bulkhead.rs
+++ b/src/dispatch/bulkhead.rs
@@ -20,8 +20,9 @@
 /// A queue is isolated until its tasks have crashed nothing for this long. Longer than a backend
 /// server takes to come back, so that the queue's next crash is seen.
 const ISOLATED_FOR: Millis = Millis(5_000);
-/// Blame that isolates a queue: one job in three crashes, or two in two.
-const MIN_BLAME: u32 = 2;
+/// Blame that isolates a queue: one of its jobs was the most likely cause of a second crash. By the
+/// time of another one, a queue with many such jobs has taken most workers down.
+const MIN_BLAME: u32 = 1;
 /// A queue with less than this part of the worst queue's blame is not isolated, as its jobs are
 /// likely to have been beside those of the worst.
 const MIN_BLAME_PART: u32 = 2;
--- a/src/dispatch/crashes.rs
+++ b/src/dispatch/crashes.rs
@@ -22,19 +22,8 @@
         unanswered: &[(TaskId, RunId)],
         out: &mut Vec<DispatchOutput>,
     ) {
-        // A run whose start was not answered may not have begun. It is to blame only if nothing else
-        // was there.
-        let begun = match (runs, unanswered) {
-            ([], [only]) => &[*only][..],
-            _ => runs,
-        };
-        let cause = self.suspects.find_cause(now, id, begun, self.latest_run());
-        if let Some(cause) = cause {
-            self.blame(id, cause, out);
-        }
-        if let Some(queue) = &self.workers[id.0].kept_for {
-            self.bulkheads.keep_isolated(now, queue);
-        }
+        let begun = runs_to_blame(runs, unanswered);
+        self.blame_cause(now, id, begun, out);
         let new = self.suspects.record_crash(now, begun, unanswered);
         match (self.id, state) {
             (DispatcherId::Group(_), Some(state)) if self.guards.on(JobGuard::CrashRecord) => {
@@ -44,6 +33,43 @@
         }
     }
 
+    /// Handles a worker whose backend server has probably crashed: its runs are suspected, but may go
+    /// on. A crash counts against a stored job's task only once it is certain, as a job that is given
+    /// up has failed for good.
+    pub(crate) fn on_unreachable(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        runs: &[(TaskId, RunId)],
+        unanswered: &[(TaskId, RunId)],
+        out: &mut Vec<DispatchOutput>,
+    ) {
+        let begun = runs_to_blame(runs, unanswered);
+        self.blame_cause(now, id, begun, out);
+        if matches!(self.id, DispatcherId::Entry(_)) {
+            let new = self.suspects.record_crash(now, begun, unanswered);
+            self.count_crash(now, id, &[], &new, out);
+        }
+    }
+
+    /// Looks for the job that has caused a crash, and keeps the queue isolated for which the worker is
+    /// kept.
+    fn blame_cause(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        begun: &[(TaskId, RunId)],
+        out: &mut Vec<DispatchOutput>,
+    ) {
+        let cause = self.suspects.find_cause(now, id, begun, self.latest_run());
+        if let Some(cause) = cause {
+            self.blame(id, cause, out);
+        }
+        if let Some(queue) = &self.workers[id.0].kept_for {
+            self.bulkheads.keep_isolated(now, queue);
+        }
+    }
+
     /// Has the crashes of stored jobs' tasks recorded. Those that ended start again only after that.
     fn record_crash(
         &mut self,
@@ -147,3 +173,15 @@
         }
     }
 }
+
+/// The runs that may have caused a crash. One whose start was not answered may not have begun; it is
+/// to blame only if nothing else was there.
+fn runs_to_blame<'a>(
+    runs: &'a [(TaskId, RunId)],
+    unanswered: &'a [(TaskId, RunId)],
+) -> &'a [(TaskId, RunId)] {
+    match (runs, unanswered) {
+        ([], [_]) => unanswered,
+        _ => runs,
+    }
+}
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -140,6 +140,14 @@
                 self.on_crashed(now, state, id, &runs, &unanswered, out);
             }
             AgentReport::Blamed(evidence) => self.on_evidence(now, id, evidence),
+            AgentReport::Unreachable {
+                life,
+                runs,
+                unanswered,
+            } => {
+                self.workers[id.0].record_crash(now, life);
+                self.on_unreachable(now, id, &runs, &unanswered, out);
+            }
             AgentReport::Progress(rows) => {
                 for (task, run, percent) in rows {
                     if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
--- a/src/dispatch/server_call.rs
+++ b/src/dispatch/server_call.rs
@@ -73,9 +73,9 @@
     HoldReply(HoldReply),
     /// The backend server at this address has another id.
     OtherInstance,
-    /// Nothing listens at the backend server's address: the call was not executed, and the process
-    /// that runs there has ended or is about to.
-    NotListening,
+    /// No connection to the backend server was made, so the call was not executed. The process may
+    /// still run.
+    Unreachable,
     /// The connection was closed before the answer: the call may have been executed.
     Disconnected,
     /// No usable answer arrived: the call may have been executed, or may still be.
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -199,6 +199,16 @@
     },
     /// A dispatcher has evidence against a queue.
     Blamed(Evidence),
+    /// The backend server accepts no connections. It has probably crashed, but its runs may go on
+    /// until its lease expires; a report of the crash follows then.
+    Unreachable {
+        /// Its incarnation number.
+        life: u64,
+        /// Runs of all dispatchers that have begun there.
+        runs: Vec<(TaskId, RunId)>,
+        /// Runs that may have begun there, as their starts were not answered.
+        unanswered: Vec<(TaskId, RunId)>,
+    },
 }
 
 /// A job of a queue is likely to have crashed backend servers, or has ended without another crash.
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -91,7 +91,7 @@
     full_until: Millis,
     /// Runs stand still there, as its agent reported.
     pub(crate) ejected: bool,
-    /// The incarnation of the backend server whose process has ended.
+    /// The incarnation of the backend server that crashed or cannot be reached.
     pub(crate) ended_life: Option<u64>,
     /// When a backend server here last crashed.
     pub(crate) crashed_at: Option<Millis>,
@@ -147,7 +147,8 @@
         self.session.is_some() && now.since(self.last_heard_at) < UNRESPONSIVE_AFTER
     }
 
-    /// Returns true once the backend server's process has ended, until another takes its place.
+    /// Returns true from a crash of the backend server on, until another incarnation takes its place,
+    /// or while it cannot be reached.
     pub(crate) fn is_down(&self) -> bool {
         self.ended_life == Some(self.life())
     }
--- a/src/events.rs
+++ b/src/events.rs
@@ -94,7 +94,7 @@
     /// An agent keeps new runs from its worker because runs stand still there, or no longer does.
     EJECTED = 511 Warn "ejected";
     /// The process of a backend server has ended: nothing listens at its address.
-    SERVER_ENDED = 512 Warn "server-ended";
+    SERVER_UNREACHABLE = 512 Warn "server-unreachable";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -414,3 +414,21 @@
         assert_eq!(fleet.overlaps(), [], "{ms_before} ms after the restart");
     }
 }
+
+/// Guards against a second run of a task at once when its backend server refuses connections for a
+/// while, though it runs on.
+#[test]
+fn runs_at_a_backend_server_that_refuses_connections_start_elsewhere_after_their_lease() {
+    for refused_for in [100, 500, 1_100, 2_500] {
+        let mut fleet = Fleet::new(1, 2, 1_800);
+        fleet.call(0, 1, submit(JobId(7), job(4, 1_800, true)), 9_000);
+        fleet.run(50);
+        fleet.agents[0].server.refuses_until = fleet.now + Millis(refused_for);
+        fleet.run(6_000);
+        assert_eq!(fleet.answer(0, 1), Some(&COMPLETED), "{refused_for} ms");
+        assert_eq!(fleet.overlaps(), [], "{refused_for} ms");
+        let restarts = fleet.spans().len() - 4;
+        let has_lasted = refused_for == 100;
+        assert_eq!(restarts == 0, has_lasted, "{refused_for} ms: {restarts}");
+    }
+}
