Let no announcement under another id end the runs of a backend server that answers

Cause: an agent gave up all runs for any announcement under another id or start time, and kept to an id that was announced first, whoever announced it: if its start time was later, it ignored the real one for good.

Evidence: both new tests failed before. In the first, tasks ran twice at a time; in the second, the backend server got nothing to do.

Change: such an announcement is held back, and a hold call asks at once. Another instance's answer (421, or another start time) makes way for it; an answer of the present one drops it (E513). Answers to hold calls that were open when the backend server changed are ignored.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -105,9 +105,10 @@
     pub(crate) server: Option<Server>,
     // Sequence number of the backend server's latest announcement.
     pub(crate) sequence: u64,
-    // The backend server's next incarnation, held back while a start that was meant for the
-    // present one may still reach it.
-    pub(crate) next_server: Option<ServerHeartbeat>,
+    // The latest announcement of another incarnation, with its arrival. It is held back until a call
+    // shows that the present one has ended, and while a start that was meant for that one may still
+    // reach it.
+    pub(crate) next_server: Option<(Millis, ServerHeartbeat)>,
     // Starts without an answer, with the time at which each was given up. They may still arrive.
     pub(crate) unanswered_starts: Vec<(Millis, TaskId, RunId)>,
     // The latest leader's term, and the lowest fencing token that the backend server accepts.
@@ -265,15 +266,15 @@
         let life = heartbeat.started_at.unwrap_or(1).max(1);
         if let Some(known) = &self.server {
             let same = life == known.life && known.id == heartbeat.id;
-            if life < known.life || (same && heartbeat.sequence <= self.sequence) {
-                return;
-            }
-            if !same && known.id == heartbeat.id && !self.revoke_unlisted_starts(now, &[], out) {
-                self.next_server = Some(heartbeat);
+            let is_former = known.id == heartbeat.id && life < known.life;
+            if is_former || (same && heartbeat.sequence <= self.sequence) {
                 return;
             }
             if !same {
-                self.discard_server(now, Loss::Replaced, out);
+                // Anyone may announce another one. Only an answer shows which of them runs.
+                self.next_server = Some((now, heartbeat));
+                self.send_hold(now, Millis(0), out);
+                return;
             }
         }
         self.sequence = heartbeat.sequence;
@@ -327,6 +328,12 @@
             list_tasks(self.held_runs())
         ));
         self.runs = Table::default();
+        // Answers to open hold calls say nothing of the next one.
+        for (_, pending) in self.pending.iter_mut() {
+            if let PendingCall::Hold { life, .. } = pending {
+                *life = 0;
+            }
+        }
         self.ends.clear();
         self.last_known_end = 0;
         self.acknowledged_end = 0;
--- a/src/dispatch/agent_crashes.rs
+++ b/src/dispatch/agent_crashes.rs
@@ -26,8 +26,6 @@
 pub(crate) enum Loss {
     /// It said that it leaves.
     Left,
-    /// Another incarnation has announced itself.
-    Replaced,
     /// Another incarnation has answered a call.
     OtherLife,
 }
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -59,7 +59,9 @@
                 term,
             } => {
                 self.open_holds = self.open_holds.saturating_sub(1);
-                if life == self.life() {
+                if reply == ServerReply::OtherInstance && life == self.life() {
+                    self.replace_server(now, out);
+                } else if life == self.life() {
                     self.on_hold_reply(now, sent_at, term, reply, out);
                 }
             }
@@ -153,15 +155,20 @@
             let running: Vec<_> = running.collect();
             if self.revoke_unlisted_starts(now, &running, out) {
                 self.stop_unanswered(now, out);
-                self.discard_server(now, Loss::OtherLife, out);
-                if let Some(heartbeat) = self.next_server.take() {
-                    self.on_heartbeat(now, heartbeat, out);
-                }
+                self.replace_server(now, out);
             } else {
                 self.next_hold_at = now + HOLD_PAUSE;
             }
             return;
         }
+        if let Some((announced_at, other)) = self.next_server.take_if(|(at, _)| *at <= sent_at) {
+            events::OTHER_SERVER.log(format_args!(
+                "server={:?} life={life} answers, age_ms={} other={:?}",
+                self.server.as_ref().map(|s| &s.id),
+                now.since(announced_at).0,
+                other.id
+            ));
+        }
         self.last_hold_answered_at = now;
         self.recover_process(out);
         self.server_clock = Some((listing.clock, now));
@@ -189,6 +196,15 @@
         }
     }
 
+    /// Another incarnation has answered in place of the present one, which has ended. The one that was
+    /// announced takes its place.
+    fn replace_server(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
+        self.discard_server(now, Loss::OtherLife, out);
+        if let Some((_, heartbeat)) = self.next_server.take() {
+            self.on_heartbeat(now, heartbeat, out);
+        }
+    }
+
     pub(crate) fn record_new_ends(
         &mut self,
         now: Millis,
--- a/src/events.rs
+++ b/src/events.rs
@@ -95,6 +95,7 @@
     EJECTED = 511 Warn "ejected";
     /// The process of a backend server has ended: nothing listens at its address.
     SERVER_UNREACHABLE = 512 Warn "server-unreachable";
+    OTHER_SERVER = 513 Warn "other-server";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -432,3 +432,39 @@
         assert_eq!(restarts == 0, has_lasted, "{refused_for} ms: {restarts}");
     }
 }
+
+/// Guards against runs that are given up for the announcement of a backend server that does not run
+/// there, as another writer may send it.
+#[test]
+fn an_announcement_under_another_id_ends_no_run() {
+    for started_at in [1, 1_000, u64::MAX] {
+        let mut fleet = Fleet::new(1, 2, 400);
+        fleet.call(0, 1, submit(JobId(7), job(4, 400, true)), 3_000);
+        fleet.run(50);
+        let mut other = fleet.agents[0].server.heartbeat();
+        "i-57%E9%FF".clone_into(&mut other.id);
+        other.started_at = Some(started_at);
+        other.sequence = u64::MAX;
+        fleet.agent_input(0, ServerAgentInput::Heartbeat(other));
+        fleet.run(900);
+        assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+        assert_eq!(fleet.overlaps(), [], "started at {started_at}");
+        assert_eq!(fleet.spans().len(), 4, "started at {started_at}");
+    }
+}
+
+/// Guards against an agent that never uses its backend server, as another writer's announcement came
+/// first.
+#[test]
+fn a_backend_server_is_used_after_another_one_was_announced_falsely() {
+    let mut fleet = Fleet::new(1, 1, 100);
+    let mut other = fleet.agents[0].server.heartbeat();
+    "i-57%E9%FF".clone_into(&mut other.id);
+    other.started_at = Some(u64::MAX);
+    fleet.restart_agent_unannounced(0);
+    fleet.agent_input(0, ServerAgentInput::Heartbeat(other));
+    fleet.run(1_500);
+    fleet.call(0, 1, submit(JobId(7), job(2, 100, true)), 1_000);
+    fleet.run(300);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+}
