--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -468,3 +468,17 @@
     fleet.run(300);
     assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
 }
+
+/// Guards against runs that are given up as soon as their backend server says that it leaves: it may
+/// work on for a while, and a late message may be of its former incarnation.
+#[test]
+fn runs_at_a_backend_server_that_has_left_start_elsewhere_after_their_lease() {
+    let mut fleet = Fleet::new(1, 2, 400);
+    fleet.call(0, 1, submit(JobId(7), job(4, 400, true)), 3_000);
+    fleet.run(50);
+    let id = fleet.agents[0].server.id.clone();
+    fleet.agent_input(0, ServerAgentInput::ServerLeft(id));
+    fleet.run(1_500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.overlaps(), []);
+}
