Count the runs of a backend server that leaves until they end or its lease expires

Cause: an agent gave up all runs at once when its backend server said that it ends. That one may work on for a while, and the message may be a late one of a former incarnation under the same id.

Change: the backend server gets no new runs (E514), and is discarded once it has none left. A later announcement that it is ready takes the notice back. Without runs it is discarded at once, as before.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -105,6 +105,8 @@
     pub(crate) server: Option<Server>,
     // Sequence number of the backend server's latest announcement.
     pub(crate) sequence: u64,
+    // The backend server said that it ends now, and still had runs then.
+    pub(crate) has_left: bool,
     // The latest announcement of another incarnation, with its arrival. It is held back until a call
     // shows that the present one has ended, and while a start that was meant for that one may still
     // reach it.
@@ -164,6 +166,7 @@
             times,
             server: None,
             sequence: 0,
+            has_left: false,
             next_server: None,
             unanswered_starts: Vec::new(),
             term: Term(0),
@@ -210,11 +213,7 @@
         self.update_unknown_runs(now, out);
         match input {
             ServerAgentInput::Heartbeat(heartbeat) => self.on_heartbeat(now, heartbeat, out),
-            ServerAgentInput::ServerLeft(id) => {
-                if self.server.as_ref().is_some_and(|s| s.id == id) {
-                    self.discard_server(now, Loss::Left, out);
-                }
-            }
+            ServerAgentInput::ServerLeft(id) => self.on_server_left(now, &id, out),
             ServerAgentInput::Leader(term) => self.on_leader(now, term, out),
             ServerAgentInput::Welcome(life, runs) => self.on_welcome(now, life, &runs, out),
             ServerAgentInput::EntryDisconnected(life) => {
@@ -278,6 +277,7 @@
             }
         }
         self.sequence = heartbeat.sequence;
+        self.has_left &= heartbeat.leaving;
         let server = Server {
             life,
             id: heartbeat.id,
@@ -307,6 +307,28 @@
         }
     }
 
+    /// Handles the notice that a backend server ends now. It may run on for a while, or the notice is
+    /// a late one of its former incarnation, so its runs count until they end or the lease expires.
+    fn on_server_left(&mut self, now: Millis, id: &str, out: &mut Vec<ServerAgentOutput>) {
+        let Some(server) = self.server.as_mut().filter(|s| s.id == id) else {
+            return;
+        };
+        if self.runs.is_empty() {
+            self.discard_server(now, Loss::Left, out);
+            return;
+        }
+        server.leaving = true;
+        let server = server.clone();
+        self.has_left = true;
+        events::SERVER_LEFT.log(format_args!(
+            "server={} life={} runs={}",
+            server.id,
+            server.life,
+            self.runs.len()
+        ));
+        self.report_to_informed(&AgentReport::Server(Some(server)), out);
+    }
+
     /// Discards the present incarnation of the backend server with all of its runs and ends.
     pub(crate) fn discard_server(
         &mut self,
@@ -338,6 +360,7 @@
         self.last_known_end = 0;
         self.acknowledged_end = 0;
         self.sequence = 0;
+        self.has_left = false;
         self.min_token = 0;
         self.server_clock = None;
         self.listed_under = None;
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -1,6 +1,7 @@
 //! An agent's periodic work: expired grants and leases, retries, and delayed reports.
 
 use super::agent::{ServerAgent, ServerAgentOutput};
+use super::agent_crashes::Loss;
 use super::agent_run::{AgentRun, RunPhase};
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::guard::JobGuard;
@@ -34,6 +35,9 @@
     pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
         self.stop_lapsed(now, out);
         self.crash_log.tick(now);
+        if self.has_left && self.runs.is_empty() {
+            self.discard_server(now, Loss::Left, out);
+        }
         if self.server.is_none() {
             return;
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -96,6 +96,7 @@
     /// The process of a backend server has ended: nothing listens at its address.
     SERVER_UNREACHABLE = 512 Warn "server-unreachable";
     OTHER_SERVER = 513 Warn "other-server";
+    SERVER_LEFT = 514 Info "server-left";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
