--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -98,6 +98,12 @@
     };
     assert_eq!(encode(&AgentOrder::Blame(evidence.clone())), "040101730203");
     assert_eq!(encode(&AgentReport::Blamed(evidence)), "090101730203");
+    let unreachable = AgentReport::Unreachable {
+        life: 1,
+        runs: Vec::new(),
+        unanswered: Vec::new(),
+    };
+    assert_eq!(encode(&unreachable), "0a010000");
     assert_eq!(encode(&AgentReport::OtherUsage(used)), "05e8070a00");
     let progress = AgentReport::Progress(vec![(task, run, 40)]);
     assert_eq!(encode(&progress), "06010701020928");
