Found the group although its founder was restarted before it existed

Callers and operators saw a system that never starts: no leader, no configuration, entries that serve nothing. The settings say that an instance may found the group at its first start only. One that ended before all seeds were up and empty came back as one that may not, and if it had the lowest id, nobody else may found either.

The permission is now kept in the data directory, with the disk's identity and the seeds: a lost disk loses it, and with other seeds a second group could be founded beside the first. The lowest of the seeds remains the only founder, so that with its log empty no group exists.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -26,6 +26,7 @@
 use crate::dispatch::wire::{Initiator, InitiatorMessage};
 use crate::events;
 use crate::shell::clock::Clock;
+use crate::store::founding::FounderMark;
 use crate::store::log_directory::LogDirectory;
 use crate::store::wal::{Wal, WalError};
 use crate::store::writer::{Batch, start_writer};
@@ -91,6 +92,7 @@
     /// Addresses of instances to contact first; may include this one.
     pub seeds: Vec<SocketAddrV4>,
     /// True at the very first start of the system; ignored unless `seeds` includes this instance.
+    /// It is kept in the data directory, as the instance may be restarted before the group exists.
     pub founder: bool,
     /// Number of instances that may be lost, with their disks, at the same time.
     pub tolerated_losses: usize,
@@ -141,7 +143,15 @@
             .context(ListenSnafu { address })?;
         let own_id = replica_id(address);
         let seed_ids: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
-        let founder = cfg.founder && seed_ids.contains(&own_id);
+        let is_seed = seed_ids.contains(&own_id);
+        let mark = FounderMark {
+            disk: durable.disk,
+            seeds: cfg.seeds.clone(),
+        };
+        let founder = is_seed
+            && mark
+                .may_found(&cfg.data, cfg.founder)
+                .context(DataDirectorySnafu)?;
         let peers = seed_ids.into_iter().filter(|id| *id != own_id).collect();
         let seed = rand::rng().random();
         let target_size = cfg.seeds.len().max(2 * cfg.tolerated_losses + 1);
