Log by which proof a run counts as over, and pauses of a process

On-call engineers could not tell from the logs why a task was started a second time: the entry logged the new run, and nothing of the former one.

- E629 started-again names the task, both runs with their agents, the proof by which the former counted as over (end listed, not listed, not started, crashed, other server, grant lapsed), and the ages of its inputs.
- E515 run-over at the agent, a line a run: when it was ordered and answered, how it ended, and the time left of its lease and its dispatcher's grant.
E509 has both times as well.
- E630 runs-out and E631 runs-gone: what was still out when a job ended, until when it may run at the latest, and when the last of it was gone.
- E632 paused: the main loop of an entry or agent came over 200 ms late, or a turn took as long, with the leases and grants that it holds.
- E619 ready says what is missing, and repeats every 5 s while the entry is not ready.
One that never got a configuration wrote no line.

No behaviour changes.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -349,6 +349,7 @@
             self.runs.len(),
             list_tasks(self.held_runs())
         ));
+        self.log_all_over(now, &why);
         self.runs = Table::default();
         // Answers to open hold calls say nothing of the next one.
         for (_, pending) in self.pending.iter_mut() {
--- a/src/dispatch/agent_crashes.rs
+++ b/src/dispatch/agent_crashes.rs
@@ -170,7 +170,9 @@
         ));
         self.void_ends();
         for key in &runs {
-            self.runs.remove(key);
+            if let Some(agent_run) = self.runs.remove(key) {
+                self.log_run_over(now, *key, &agent_run, &"LeaseLapsed");
+            }
         }
         self.usage_report_due = true;
         self.log_crash(now, runs, unanswered, out);
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -82,14 +82,17 @@
         match reply {
             ServerReply::Started { .. } => {
                 agent_run.known_started = true;
+                agent_run.answered_at = Some(now);
                 if agent_run.phase == RunPhase::Starting {
                     agent_run.enter(RunPhase::Running, now);
                 }
                 self.report(owner, AgentReport::Started(key.0, key.1), out);
             }
-            ServerReply::Denied(reason) => self.drop_not_started(key, *reason, "server", out),
+            ServerReply::Denied(reason) => {
+                self.drop_not_started(now, key, *reason, "server", out);
+            }
             ServerReply::OtherInstance | ServerReply::Fenced | ServerReply::Unreachable => {
-                self.drop_not_started(key, Denial::Closed, "server", out);
+                self.drop_not_started(now, key, Denial::Closed, "server", out);
             }
             ServerReply::Disconnected
             | ServerReply::NoAnswer
@@ -109,6 +112,7 @@
     /// it did not start.
     pub(crate) fn drop_not_started(
         &mut self,
+        now: Millis,
         key: (TaskId, RunId),
         reason: Denial,
         by: &str,
@@ -118,6 +122,7 @@
             return;
         };
         self.usage_report_due = true;
+        self.log_run_over(now, key, &agent_run, &reason);
         let (task, run) = key;
         events::START_DENIED.log(format_args!(
             "task={task} run={} owner={:?} by={by} reason={reason:?} phase={:?}",
@@ -219,6 +224,9 @@
             }
             self.last_known_end = *number;
             let agent_run = self.runs.remove(&(*task, *run));
+            if let Some(agent_run) = &agent_run {
+                self.log_run_over(now, (*task, *run), agent_run, outcome);
+            }
             self.ends.push(RetainedEnd {
                 number: *number,
                 end: RunEnd {
@@ -301,7 +309,7 @@
             self.stop(now, key, out);
         }
         for key in gone {
-            self.drop_not_started(key, Denial::Unwell, "agent", out);
+            self.drop_not_started(now, key, Denial::Unwell, "agent", out);
         }
     }
 }
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -42,6 +42,9 @@
     /// An earlier incarnation of the agent started it. Its lease expires soon unless its dispatcher
     /// grants more time.
     pub(crate) inherited: bool,
+    /// When it was ordered or first listed, and when its start was answered.
+    pub(crate) ordered_at: Millis,
+    pub(crate) answered_at: Option<Millis>,
 }
 
 impl AgentRun {
@@ -55,6 +58,8 @@
             known_started: false,
             listed: false,
             inherited: false,
+            ordered_at: now,
+            answered_at: None,
         }
     }
 
@@ -70,6 +75,8 @@
             known_started: true,
             listed: true,
             inherited: true,
+            ordered_at: now,
+            answered_at: None,
         }
     }
 
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -104,8 +104,11 @@
         }
         for (key, owner) in stop {
             events::GRANT_LAPSED.log(format_args!(
-                "task={} run={} owner={owner:?}",
-                key.0, key.1.0
+                "task={} run={} owner={owner:?} grant_ms={} lease_ms={}",
+                key.0,
+                key.1.0,
+                self.grant_left(now, owner).0,
+                self.lease_bound().since(now).0
             ));
             self.stop(now, key, out);
         }
@@ -136,6 +139,7 @@
             "life={} runs={runs} ends={void_ends}",
             self.life()
         ));
+        self.log_all_over(now, &"LeaseLapsed");
         self.runs = Table::default();
         self.void_ends();
         self.listed_under = None;
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -9,6 +9,7 @@
 use super::call::{Call, CallReply, ClientAction};
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId};
 use super::guard::JobGuard;
+use super::readiness::Readiness;
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings};
@@ -574,12 +575,23 @@
         self.open_calls.len()
     }
 
-    /// Returns true while this entry can serve new callers: it has a configuration, and either a
-    /// usable worker or a link to the leader.
+    /// What this entry has of that which it needs to serve new callers.
+    pub(crate) fn readiness(&self, now: Millis) -> Readiness {
+        Readiness {
+            config: self.config.is_some(),
+            leader: self.leader.is_some(),
+            worker: self.dispatcher.has_open_worker(now, &self.evacuated),
+        }
+    }
+
+    /// Returns true while this entry can serve new callers.
     #[must_use]
     pub fn is_ready(&self, now: Millis) -> bool {
-        let can_run =
-            self.leader.is_some() || self.dispatcher.has_open_worker(now, &self.evacuated);
-        self.config.is_some() && can_run
+        self.readiness(now).is_ready()
+    }
+
+    /// What a pause of the process may have cost.
+    pub(crate) fn stakes(&self, now: Millis) -> String {
+        self.dispatcher.stakes(now)
     }
 }
--- a/src/dispatch/crashes.rs
+++ b/src/dispatch/crashes.rs
@@ -4,6 +4,7 @@
 use super::guard::JobGuard;
 use super::live::TaskPhase;
 use super::replicated_state::{ReplicatedState, StateCommand};
+use super::run_trace::RunProof;
 use super::spec::{RunId, TaskId};
 use super::suspects::CrashedRun;
 use super::worker::WorkerId;
@@ -27,7 +28,7 @@
         let new = self.suspects.record_crash(now, begun, unanswered);
         match (self.id, state) {
             (DispatcherId::Group(_), Some(state)) if self.guards.on(JobGuard::CrashRecord) => {
-                self.record_crash(id, state, runs, &new, out);
+                self.record_crash(now, id, state, runs, &new, out);
             }
             _ => self.count_crash(now, id, runs, &new, out),
         }
@@ -73,6 +74,7 @@
     /// Has the crashes of stored jobs' tasks recorded. Those that ended start again only after that.
     fn record_crash(
         &mut self,
+        now: Millis,
         id: WorkerId,
         state: &ReplicatedState,
         ended: &[(TaskId, RunId)],
@@ -97,6 +99,7 @@
                 });
             }
             self.workers[id.0].remove_run((*task, *run));
+            self.note_over(now, id, (*task, *run), RunProof::Crashed);
             self.await_record(*task, *run);
         }
         if !record.is_empty() {
@@ -130,7 +133,7 @@
     ) {
         for key in ended {
             if self.workers[id.0].runs.get(key).is_some() {
-                self.lose_run(now, id, *key);
+                self.lose_run(now, id, *key, RunProof::Crashed);
             }
         }
         for row in new {
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -10,6 +10,7 @@
 use super::placing::MissedTask;
 use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
 use super::reports::{order_stop, send_recorded};
+use super::run_trace::{DroppedJobs, RunProof};
 use super::spec::{JobId, JobStatus, QueueSettings};
 use super::suspects::Suspects;
 use super::wire::AcceptorMessage;
@@ -111,6 +112,7 @@
     pub(crate) last_run: u64,
     pub(crate) ranked_at: Millis,
     pub(crate) slow_checked_at: Millis,
+    pub(crate) dropped: DroppedJobs,
     pub(crate) guards: Guards,
 }
 
@@ -138,6 +140,7 @@
             last_run: 0,
             ranked_at: now,
             slow_checked_at: now,
+            dropped: DroppedJobs::default(),
             guards: Guards::default(),
         }
     }
@@ -325,6 +328,7 @@
                 }
             }
         }
+        self.log_runs_out(now, id);
     }
 
     /// Adds a transient job. Runs of an earlier submission that are still being stopped must end
@@ -409,7 +413,7 @@
             let worker = &self.workers[at];
             let silent = now.since(worker.last_granted_at) > lapse;
             if silent && !worker.runs.is_empty() {
-                self.lose_all_runs(now, WorkerId(at));
+                self.lose_all_runs(now, WorkerId(at), RunProof::GrantLapsed);
             }
             let worker = &mut self.workers[at];
             let gone =
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::replicated_state::OpenJob;
+use super::run_trace::FormerRun;
 use super::spec::{JobDefinition, JobStatus, Resources, RunId, Step, TaskId};
 use super::worker::WorkerId;
 use crate::core::clock::Millis;
@@ -46,6 +47,8 @@
     /// The failure of an earlier run is being recorded in the log, while an agent that has not been
     /// heard may hold a later one; it is not started before that.
     pub(crate) failure_pending: bool,
+    /// Its last run that counts as over.
+    pub(crate) former: Option<FormerRun>,
 }
 
 impl LiveTask {
@@ -96,6 +99,7 @@
                 failures: task.failures(),
                 crash_pending: false,
                 failure_pending: false,
+                former: None,
             });
             tasks.push(live.collect());
         }
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -206,6 +206,10 @@
             task.phase = TaskPhase::Assigned(id);
             task.run = run;
         }
+        let former = job.task_mut(key).and_then(|task| task.former.take());
+        if let Some(former) = &former {
+            self.log_restart(now, key, run, id, former);
+        }
         let nominal = Millis(scale(job.estimate(key), self.duration_ratio(job)));
         let suspect = self.suspects.runs_apart(now, key);
         let worker = &mut self.workers[id.0];
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -4,6 +4,7 @@
 use super::guard::JobGuard;
 use super::live::{LiveJob, TaskPhase};
 use super::replicated_state::{ReplicatedState, RunEnd, StateCommand};
+use super::run_trace::RunProof;
 use super::spec::{Resources, RunId, RunOutcome, TaskId};
 use super::wire::{AcceptorMessage, AgentOrder, AgentReport, Denial, Server};
 use super::worker::{PlacedRun, SessionId, Worker, WorkerId};
@@ -114,7 +115,7 @@
             }
             AgentReport::Server(server) => {
                 if server.as_ref().map_or(0, |s| s.life) != self.workers[id.0].life() {
-                    self.lose_all_runs(now, id);
+                    self.lose_all_runs(now, id, RunProof::OtherServer);
                 }
                 self.workers[id.0].set_server(server);
                 self.may_place = true;
@@ -190,7 +191,7 @@
         let agent = worker.agent.clone();
         for key in gone {
             if !self.revoke_run(id, key, out) {
-                self.lose_run(now, id, key);
+                self.lose_run(now, id, key, RunProof::NotListed);
             }
         }
         for key in runs {
@@ -298,17 +299,30 @@
 
     /// Handles the loss of a run, either with its worker or because the agent no longer knows of
     /// it.
-    pub(crate) fn lose_run(&mut self, now: Millis, id: WorkerId, key: (TaskId, RunId)) {
+    pub(crate) fn lose_run(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        key: (TaskId, RunId),
+        proof: RunProof,
+    ) {
         if let Some(job) = self.jobs.get_mut(&key.0.job) {
             job.has_lost_run = true;
         }
-        self.release_run(now, id, key);
+        self.release_run(now, id, key, proof);
     }
 
     /// Frees the resources of a run that ended or never started. Its task can be started again,
     /// unless the end of a run is being recorded.
-    pub(crate) fn release_run(&mut self, now: Millis, id: WorkerId, (task, run): (TaskId, RunId)) {
+    pub(crate) fn release_run(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        (task, run): (TaskId, RunId),
+        proof: RunProof,
+    ) {
         self.workers[id.0].remove_run((task, run));
+        self.note_over(now, id, (task, run), proof);
         self.may_place = true;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
@@ -323,18 +337,24 @@
     }
 
     /// Handles a worker on which nothing runs any more: all its runs are lost.
-    pub(crate) fn lose_all_runs(&mut self, now: Millis, id: WorkerId) {
+    pub(crate) fn lose_all_runs(&mut self, now: Millis, id: WorkerId, proof: RunProof) {
         let keys: Vec<_> = self.workers[id.0]
             .runs
             .iter()
             .map(|(key, _)| *key)
             .collect();
         if !keys.is_empty() {
-            let agent = &self.workers[id.0].agent;
-            events::WORKER_EMPTY.log(format_args!("agent={agent} runs={}", keys.len()));
+            let worker = &self.workers[id.0];
+            events::WORKER_EMPTY.log(format_args!(
+                "agent={} runs={} proof={proof:?} granted_ms={} heard_ms={}",
+                worker.agent,
+                keys.len(),
+                now.since(worker.last_granted_at).0,
+                now.since(worker.last_heard_at).0
+            ));
         }
         for key in keys {
-            self.lose_run(now, id, key);
+            self.lose_run(now, id, key, proof);
         }
     }
 
@@ -366,7 +386,7 @@
             Denial::Unwell => self.workers[id.0].record_failure(now),
             Denial::Room => {
                 self.pass_over(now, id);
-                self.release_run(now, id, key);
+                self.release_run(now, id, key, RunProof::NotStarted(reason));
                 return;
             }
             // The agent may not have learned yet what this dispatcher already knows.
@@ -380,7 +400,7 @@
         {
             live.avoid = Some(id);
         }
-        self.release_run(now, id, key);
+        self.release_run(now, id, key, RunProof::NotStarted(reason));
     }
 
     /// Passes over a worker that denied an order, until it may have room again.
@@ -437,6 +457,7 @@
     ) -> bool {
         let key = (end.task, end.run);
         let placed = self.workers[id.0].remove_run(key);
+        self.note_over(now, id, key, RunProof::Ended(end.outcome));
         self.may_place = true;
         if let Some(placed) = &placed {
             match end.outcome {
--- a/src/events.rs
+++ b/src/events.rs
@@ -109,6 +109,8 @@
     SERVER_UNREACHABLE = 512 Warn "server-unreachable";
     OTHER_SERVER = 513 Warn "other-server";
     SERVER_LEFT = 514 Info "server-left";
+    /// A run is over for its agent.
+    RUN_OVER = 515 Info "run-over";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
@@ -168,6 +170,14 @@
     SESSION_QUEUE_FULL = 627 Warn "session-queue-full";
     /// A session that another process opened ended, as what arrived was not valid.
     BAD_FRAME = 628 Warn "bad-frame";
+    /// A task that had a run before is started again.
+    STARTED_AGAIN = 629 Info "started-again";
+    /// A job ended while runs of it were out.
+    RUNS_OUT = 630 Info "runs-out";
+    /// The last run is gone that was out when its job ended.
+    RUNS_GONE = 631 Info "runs-gone";
+    /// The main loop of a process stood still.
+    PAUSED = 632 Warn "paused";
     /// The demo found a promise of the dispatcher broken.
     BROKEN = 900 Error "promise-broken";
 }
--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -9,6 +9,7 @@
 use super::entry_links::EntryLinks;
 use super::link::LinkEvent;
 use super::links::{ControlLinks, LeaderUpdate};
+use super::pauses::PauseWatch;
 use crate::dispatch::agent::{AgentTimes, ServerAgent, ServerAgentInput, ServerAgentOutput};
 use crate::dispatch::dispatcher_link::Owner;
 use crate::dispatch::server_call::{CallId, ServerCall, ServerHeartbeat, ServerReply};
@@ -107,6 +108,7 @@
         let mut ticker = interval(TICK_INTERVAL);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut out = Vec::new();
+        let mut pauses = PauseWatch::new(self.clock.now());
         loop {
             let input = tokio::select! {
                 event = rx.recv() => match event {
@@ -121,12 +123,14 @@
                 Some(event) = entries.recv() => self.entries.handle_event(event),
                 _ = ticker.tick() => Some(ServerAgentInput::Tick),
             };
+            let now = self.clock.now();
             if let Some(input) = input {
-                self.agent.step(self.clock.now(), input, &mut out);
+                self.agent.step(now, input, &mut out);
             }
             for output in out.drain(..) {
                 self.execute(output).await;
             }
+            pauses.end_turn(now, self.clock.now(), |at| self.agent.stakes(at));
         }
     }
 
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -13,6 +13,7 @@
 use super::address::replica_id;
 use super::link::LinkEvent;
 use super::links::{ControlLinks, LeaderUpdate};
+use super::pauses::PauseWatch;
 use super::sessions::{self, SessionEvent, SessionQueues};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -26,6 +27,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Capacity of each event queue.
 const EVENT_QUEUE_LEN: usize = 4_096;
+/// Interval between log lines that say why the entry is not ready.
+const NOT_READY_INTERVAL: Millis = Millis(5_000);
 /// Largest number of queued events that are processed before tasks are placed.
 const MAX_EVENTS_PER_TURN: usize = 64;
 
@@ -86,6 +89,7 @@
             callers: Table::default(),
             open_calls: Arc::clone(&open_calls),
             ready: Arc::clone(&ready),
+            readiness_logged_at: clock.now(),
         };
         tokio::spawn(actor.run(rx, link_rx));
         tokio::spawn(sessions::serve(listener, clock, tx.clone(), Event::Session));
@@ -179,6 +183,7 @@
     callers: Table<u64, oneshot::Sender<CallReply>>,
     open_calls: Arc<AtomicUsize>,
     ready: Arc<AtomicBool>,
+    readiness_logged_at: Millis,
 }
 
 impl Actor {
@@ -186,6 +191,7 @@
         let mut ticker = interval(TICK_INTERVAL);
         ticker.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut out = Vec::new();
+        let mut pauses = PauseWatch::new(self.clock.now());
         loop {
             let input = tokio::select! {
                 event = rx.recv() => match event {
@@ -212,14 +218,21 @@
                 self.execute(output);
             }
             self.open_calls.store(self.router.len(), Ordering::Relaxed);
-            self.update_readiness();
+            let ended_at = self.clock.now();
+            self.update_readiness(ended_at);
+            pauses.end_turn(now, ended_at, |at| self.router.stakes(at));
         }
     }
 
-    fn update_readiness(&self) {
-        let ready = self.router.is_ready(self.clock.now());
-        if self.ready.swap(ready, Ordering::Relaxed) != ready {
-            events::READY.log(format_args!("ready={ready}"));
+    /// Logs each change, and, while the entry is not ready, repeatedly what is missing.
+    fn update_readiness(&mut self, now: Millis) {
+        let readiness = self.router.readiness(now);
+        let is_ready = readiness.is_ready();
+        let has_changed = self.ready.swap(is_ready, Ordering::Relaxed) != is_ready;
+        let is_due = !is_ready && now.since(self.readiness_logged_at) >= NOT_READY_INTERVAL;
+        if has_changed || is_due {
+            self.readiness_logged_at = now;
+            events::READY.log(format_args!("{readiness}"));
         }
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,5 +15,6 @@
 pub(crate) mod links;
 pub(crate) mod outgoing;
 pub(crate) mod output;
+pub(crate) mod pauses;
 pub(crate) mod sessions;
 pub(crate) mod timer;
