Reckon a lease by the lowest age of the backend server's clock reading

A task's second run could start while the first was at work: the agent gave up its runs at its bound for the lease, and the backend server's lease lasted longer.

`lease_end` adds the age of the last reading of the backend server's clock to that reading. By the protocol that clock may be 2% slow. While no answer comes, the reading grows old, and after 4 s without one the lease outlasts the bound by more than the margin of 50 ms.

The age now counts at its lowest, less 2%. A lease is shorter by that while answers are missing, and by nothing to speak of while they come.

`the_lease_of_a_mute_backend_server_with_a_slow_clock_ends_in_time`: a server that executes calls and answers none, then refuses connections. Before, it failed after 4,000 ms without an answer, with two runs of a task at once; it passes for 1, 4, 8 and 14 s now.

--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -62,7 +62,7 @@
     pub(crate) fn lease_end(&self, now: Millis) -> Option<Millis> {
         let (clock, at) = self.server_clock?;
         let length = self.lease_length(now);
-        (length > Millis(0)).then(|| clock + now.since(at) + length)
+        (length > Millis(0)).then(|| clock + min_elapsed(now.since(at)) + length)
     }
 
     /// Returns how long a lease given now may last; zero if none may be given.
@@ -203,6 +203,11 @@
     }
 }
 
+/// Returns the shortest time that may have passed on the backend server's clock in `age` of the agent's.
+fn min_elapsed(age: Millis) -> Millis {
+    age - Millis((age.0 * CLOCK_DRIFT_PERCENT).div_ceil(100))
+}
+
 /// Returns the longest time, on the agent's clock, that a lease of this length may last.
 pub(crate) fn max_lease_duration(length: Millis) -> Millis {
     length + Millis(length.0 * CLOCK_DRIFT_PERCENT / 100) + LEASE_MARGIN
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -34,6 +34,8 @@
     pub answers: Vec<(u64, CallReply)>,
     /// Offset of its wall clock, in milliseconds.
     pub clock_skew_ms: i64,
+    pub frozen: bool,
+    inbox: Vec<CallRouterInput>,
 }
 
 pub struct AgentSlot {
@@ -44,6 +46,8 @@
     pub start_delay: Option<Millis>,
     /// Number of the next hold and stop calls that are lost and get no answer.
     pub unanswered_calls: u32,
+    /// While true, calls are executed, and their answers are lost.
+    pub mute: bool,
     inbox: Vec<ServerAgentInput>,
 }
 
@@ -64,6 +68,10 @@
     pub agents: Vec<AgentSlot>,
     /// Pairs of entry and agent that cannot reach each other.
     pub cut: Vec<(usize, usize)>,
+    /// Pairs of entry and agent between which messages to the agent are lost.
+    pub cut_to_agent: Vec<(usize, usize)>,
+    /// Pairs of entry and agent between which messages to the entry are lost.
+    pub cut_to_entry: Vec<(usize, usize)>,
     /// Delayed start calls, with the time at which they are executed.
     delayed_calls: VecDeque<(Millis, usize, ServerCall)>,
     /// Calls without an answer, with the time at which the agent gives them up.
@@ -148,6 +156,8 @@
             entries: Vec::new(),
             agents: Vec::new(),
             cut: Vec::new(),
+            cut_to_agent: Vec::new(),
+            cut_to_entry: Vec::new(),
             delayed_calls: VecDeque::new(),
             lost_calls: VecDeque::new(),
             sessions: Vec::new(),
@@ -165,6 +175,8 @@
                 life: 0,
                 answers: Vec::new(),
                 clock_skew_ms: 0,
+                frozen: false,
+                inbox: Vec::new(),
             });
         }
         for at in 0..agents {
@@ -175,6 +187,7 @@
                 frozen: false,
                 start_delay: None,
                 unanswered_calls: 0,
+                mute: false,
                 inbox: Vec::new(),
             });
         }
@@ -222,6 +235,8 @@
     /// Kills an entry. Its sessions close at once.
     pub fn kill_entry(&mut self, entry: usize) {
         self.entries[entry].router = None;
+        self.entries[entry].frozen = false;
+        self.entries[entry].inbox.clear();
         let closed: Vec<_> = self
             .sessions
             .iter()
@@ -270,6 +285,14 @@
         }
     }
 
+    /// Unfreezes an entry, which handles the inputs that arrived in the meantime.
+    pub fn wake_entry(&mut self, entry: usize) {
+        self.entries[entry].frozen = false;
+        for input in std::mem::take(&mut self.entries[entry].inbox) {
+            self.router_input(entry, input);
+        }
+    }
+
     pub fn call(&mut self, entry: usize, token: u64, call: Call, wait: u64) {
         let deadline = self.now + Millis(wait);
         let input = CallRouterInput::Call {
@@ -300,6 +323,10 @@
 
     pub fn router_input(&mut self, entry: usize, input: CallRouterInput) {
         let wall = self.wall_clock(entry);
+        if self.entries[entry].frozen {
+            self.entries[entry].inbox.push(input);
+            return;
+        }
         let Some(router) = &mut self.entries[entry].router else {
             return;
         };
@@ -402,7 +429,8 @@
             let Some(session) = self.sessions.iter_mut().find(|s| s.id == id) else {
                 continue;
             };
-            if self.cut.contains(&(session.entry, session.agent)) {
+            let pair = (session.entry, session.agent);
+            if self.cut.contains(&pair) || self.cut_to_agent.contains(&pair) {
                 continue;
             }
             session.last_heard_at = now.0;
@@ -431,7 +459,8 @@
             let Some(session) = self.sessions.iter().find(|s| s.id == id).cloned() else {
                 continue;
             };
-            if !self.cut.contains(&(session.entry, session.agent)) {
+            let pair = (session.entry, session.agent);
+            if !self.cut.contains(&pair) && !self.cut_to_entry.contains(&pair) {
                 self.router_input(session.entry, CallRouterInput::Message(id, message));
             }
         }
@@ -454,6 +483,16 @@
                     .push_back((now + CALL_TIMEOUT, agent, call.id));
                 continue;
             }
+            if self.agents[agent].mute {
+                let reply = self.agents[agent].server.call(now, &call);
+                if reply == ServerReply::Unreachable {
+                    self.reply(agent, call.id, reply);
+                } else {
+                    self.lost_calls
+                        .push_back((now + CALL_TIMEOUT, agent, call.id));
+                }
+                continue;
+            }
             let reply = match self.agents[agent].start_delay {
                 Some(delay) if is_start => {
                     self.delayed_calls
@@ -479,7 +518,9 @@
             }
         }
         for entry in 0..self.entries.len() {
-            self.router_input(entry, CallRouterInput::Tick);
+            if !self.entries[entry].frozen {
+                self.router_input(entry, CallRouterInput::Tick);
+            }
         }
     }
 
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -60,6 +60,8 @@
     down_until: Option<Millis>,
     /// It refuses all connections until then, but runs on.
     pub refuses_until: Millis,
+    /// Percentage by which its clock runs slow.
+    pub slow_clock_percent: u64,
     /// Number of crashes.
     pub crashes: u32,
     pub leaving: bool,
@@ -94,6 +96,7 @@
             crash_age: CRASH_AGE,
             down_until: None,
             refuses_until: Millis(0),
+            slow_clock_percent: 0,
             crashes: 0,
             leaving: false,
             sequence: 0,
@@ -177,16 +180,21 @@
         }
     }
 
+    /// What its own clock shows at time `at`.
+    fn clock(&self, at: Millis) -> Millis {
+        at - Millis(at.0 * self.slow_clock_percent / 100)
+    }
+
     pub fn tick(&mut self, now: Millis) {
         self.crash_if_due(now);
-        let lapsed = now > self.lease_expires_at;
+        let lapsed = self.clock(now) > self.lease_expires_at;
         for span in self.spans.iter_mut().filter(|s| s.ended_at.is_some()) {
             span.lapsed |= lapsed;
         }
         let runs: Vec<_> = self.running.iter().map(|(k, r)| (*k, *r)).collect();
         for (key, active) in runs {
             let is_over = !self.is_hung && active.ends_at <= self.clock_of_work(now);
-            if is_over && active.ends_at <= self.lease_expires_at {
+            if is_over && self.clock(active.ends_at) <= self.lease_expires_at {
                 let outcome = if self.failures_to_come > 0 {
                     self.failures_to_come -= 1;
                     RunOutcome::Failed
@@ -264,9 +272,11 @@
 
     fn start(&mut self, now: Millis, key: (TaskId, RunId), expires_at: Millis) -> ServerReply {
         if self.running.contains_key(&key) {
-            return ServerReply::Started { clock: now };
+            return ServerReply::Started {
+                clock: self.clock(now),
+            };
         }
-        if expires_at < now {
+        if expires_at < self.clock(now) {
             return ServerReply::Denied(Denial::Stale);
         }
         self.lease_expires_at = self.lease_expires_at.max(expires_at);
@@ -293,7 +303,9 @@
             end_number: 0,
             lapsed: false,
         });
-        ServerReply::Started { clock: now }
+        ServerReply::Started {
+            clock: self.clock(now),
+        }
     }
 
     fn hold_reply(&self, now: Millis) -> HoldReply {
@@ -303,7 +315,7 @@
             u32::try_from(if self.is_hung { 0 } else { done.min(99) }).unwrap_or(0)
         };
         HoldReply {
-            clock: now,
+            clock: self.clock(now),
             started_at: Some(self.started_at),
             running: self
                 .running
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -482,3 +482,24 @@
     assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
     assert_eq!(fleet.overlaps(), []);
 }
+
+/// Guards against a lease that outlasts the agent's bound for it, as the last reading of the backend
+/// server's slow clock was long ago (TWICE).
+#[test]
+fn the_lease_of_a_mute_backend_server_with_a_slow_clock_ends_in_time() {
+    for mute_for in [1_000, 4_000, 8_000, 14_000] {
+        let mut fleet = Fleet::new(1, 2, 30_000);
+        for slot in &mut fleet.agents {
+            slot.server.slow_clock_percent = 2;
+        }
+        fleet.run(1_000);
+        fleet.call(0, 1, submit(JobId(7), job(4, 30_000, true)), 90_000);
+        fleet.run(100);
+        fleet.agents[0].mute = true;
+        fleet.run(mute_for);
+        fleet.agents[0].server.refuses_until = fleet.now + Millis(3_000);
+        fleet.run(3_000);
+        assert!(fleet.spans().len() > 4, "none started elsewhere");
+        assert_eq!(fleet.overlaps(), [], "mute for {mute_for} ms");
+    }
+}
