Check deadlines before tasks are placed

An entry that was paused could start tasks of jobs whose callers had given up long before: on waking it handled queued messages and placed tasks, and only its next tick ended the calls whose deadline had passed. The job may have been submitted elsewhere by then.

Calls are now ended at each flush, before tasks are placed. The earliest deadline is kept, so that a turn looks at the open calls only when it has passed.

--- /dev/null
+++ b/src/dispatch/call_expiry.rs
@@ -0,0 +1,95 @@
+//! How a call router ends calls that were not answered in time, and those that can't be of use.
+
+use super::call::CallReply;
+use super::call_router::{CallRoute, CallRouter, CallRouterOutput, OpenCall, RETRY_AFTER};
+use crate::core::clock::Millis;
+use crate::events;
+
+/// How long a call waits for the first configuration, in milliseconds. A leader is found within
+/// this time unless the control group is down.
+const MAX_PARKED: Millis = Millis(900);
+/// A transient job that has not started is refused after this percentage of the time until its
+/// deadline. Less than half, so that its caller still has time to submit it elsewhere.
+const GIVE_UP_PERCENT: u64 = 45;
+
+impl CallRouter {
+    /// Adds an open call.
+    pub(super) fn open_call(&mut self, token: u64, open: OpenCall) {
+        self.next_deadline = self.next_deadline.min(open.deadline);
+        self.open_calls.insert(token, open);
+    }
+
+    /// Answers the calls whose deadline has passed.
+    pub(super) fn expire(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
+        if now < self.next_deadline {
+            return;
+        }
+        let open_calls = self.open_calls.iter();
+        let expired = open_calls.filter(|(_, open)| now >= open.deadline);
+        let expired: Vec<_> = expired.map(|(token, _)| *token).collect();
+        for token in expired {
+            let Some(open) = self.open_calls.remove(&token) else {
+                continue;
+            };
+            let may_have_run = match &open.route {
+                CallRoute::Local(id) => self.dispatcher.may_have_run(*id),
+                CallRoute::Parked(_) => false,
+                CallRoute::Forward { may_have_run, .. } => *may_have_run,
+            };
+            events::CALL_EXPIRED.log(format_args!(
+                "call={token} way={:?} may_have_run={may_have_run} after_ms={} leader={:?}",
+                open.route,
+                now.since(open.received_at).0,
+                self.leader
+            ));
+            self.remove_waiting_call(now, token, &open);
+            let reply = if may_have_run {
+                CallReply::Unknown
+            } else {
+                CallReply::Refused(RETRY_AFTER)
+            };
+            out.push(CallRouterOutput::Answer(token, reply));
+        }
+        let deadlines = self.open_calls.iter().map(|(_, open)| open.deadline);
+        self.next_deadline = deadlines.min().unwrap_or(Millis(u64::MAX));
+    }
+
+    /// Refuses local jobs that can no longer end in time to be of use, so that their callers learn
+    /// it at once: those that have not started, and, while useful jobs wait for resources, also
+    /// those that have. Also refuses calls that waited too long for the first configuration.
+    pub(super) fn refuse_useless(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
+        let mut refused = Vec::new();
+        for (token, open) in self.open_calls.iter() {
+            let allowed = open.deadline.since(open.received_at).0;
+            let give_up_after = Millis(allowed * GIVE_UP_PERCENT / 100);
+            let waited = now.since(open.received_at);
+            let is_useless = match &open.route {
+                CallRoute::Local(id) => {
+                    let late = self.dispatcher.is_overdue(now, *id) || waited >= give_up_after;
+                    late && !self.dispatcher.may_have_run(*id)
+                        || self.dispatcher.blocks_useful_jobs(now, *id)
+                }
+                CallRoute::Parked(_) => waited >= MAX_PARKED,
+                CallRoute::Forward { .. } => false,
+            };
+            if is_useless {
+                refused.push((*token, waited));
+            }
+        }
+        for (token, waited) in refused {
+            if let Some(open) = self.open_calls.remove(&token) {
+                let reply = match open.route {
+                    CallRoute::Parked(_) => CallReply::NoConfig,
+                    CallRoute::Local(id) if self.dispatcher.may_have_run(id) => CallReply::Unknown,
+                    _ => CallReply::Refused(RETRY_AFTER),
+                };
+                events::REFUSED.log(format_args!(
+                    "call={token} way={:?} waited_ms={} reply={reply:?}",
+                    open.route, waited.0
+                ));
+                self.remove_waiting_call(now, token, &open);
+                out.push(CallRouterOutput::Answer(token, reply));
+            }
+        }
+    }
+}
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -23,16 +23,10 @@
 /// milliseconds.
 const RESEND_AFTER: Millis = Millis(40);
 /// Retry delay given to callers whose call was not accepted, in milliseconds.
-const RETRY_AFTER: Millis = Millis(1_000);
+pub(super) const RETRY_AFTER: Millis = Millis(1_000);
 /// How long the outcome of a transient job is kept, in milliseconds. A caller that lost the answer
 /// submits the job again a little later and gets the kept outcome.
 const OUTCOME_KEPT_FOR: Millis = Millis(5_000);
-/// How long a call waits for the first configuration, in milliseconds. A leader is found within
-/// this time unless the control group is down.
-const MAX_PARKED: Millis = Millis(900);
-/// A transient job that has not started is refused after this percentage of the time until its
-/// deadline. Less than half, so that its caller still has time to submit it elsewhere.
-const GIVE_UP_PERCENT: u64 = 45;
 /// The entry's dispatcher holds no stored jobs, so it has no ended jobs to keep.
 const KEEP_NOTHING: Millis = Millis(0);
 
@@ -84,7 +78,7 @@
 }
 
 #[derive(Debug)]
-enum CallRoute {
+pub(super) enum CallRoute {
     /// Waits for the end of a transient job that runs from this entry.
     Local(JobId),
     /// Waits for the first configuration.
@@ -107,22 +101,24 @@
 }
 
 #[derive(Debug)]
-struct OpenCall {
-    route: CallRoute,
-    received_at: Millis,
-    deadline: Millis,
+pub(super) struct OpenCall {
+    pub(super) route: CallRoute,
+    pub(super) received_at: Millis,
+    pub(super) deadline: Millis,
 }
 
 /// Holds the open calls of an entry, and dispatches its transient jobs.
 #[derive(Debug)]
 pub struct CallRouter {
     life: u64,
-    open_calls: Table<u64, OpenCall>,
-    leader: Option<LinkId>,
+    pub(super) open_calls: Table<u64, OpenCall>,
+    // No open call has an earlier deadline.
+    pub(super) next_deadline: Millis,
+    pub(super) leader: Option<LinkId>,
     config: Option<Arc<OperatorConfig>>,
     evacuated_index: u64,
     evacuated: Vec<String>,
-    dispatcher: Dispatcher,
+    pub(super) dispatcher: Dispatcher,
     // Calls that wait for each local job.
     waiting_calls: Table<JobId, Vec<u64>>,
     // Local jobs that ended recently, with the time of their end.
@@ -139,6 +135,7 @@
         Self {
             life,
             open_calls: Table::default(),
+            next_deadline: Millis(u64::MAX),
             leader: None,
             config: None,
             evacuated_index: 0,
@@ -220,6 +217,8 @@
     /// Ends a batch of inputs: starts tasks, and answers the calls of jobs that ended. `wall_clock`
     /// is the wall-clock time from which run ids are derived.
     pub fn flush(&mut self, now: Millis, wall_clock: Millis, out: &mut Vec<CallRouterOutput>) {
+        // After a pause of the process, this may come before the tick.
+        self.expire(now, out);
         self.dispatcher
             .place_jobs(now, wall_clock, &self.evacuated, &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
@@ -263,7 +262,7 @@
                 received_at: incoming.received_at,
                 deadline: incoming.deadline,
             };
-            self.open_calls.insert(token, open);
+            self.open_call(token, open);
             return;
         };
         let call = match call {
@@ -296,7 +295,7 @@
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
-        self.open_calls.insert(token, open);
+        self.open_call(token, open);
         self.forward(now, out);
     }
 
@@ -391,12 +390,12 @@
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
-        self.open_calls.insert(token, open);
+        self.open_call(token, open);
         None
     }
 
     /// Removes a call from those that wait for its job, and abandons a job without waiting calls.
-    fn remove_waiting_call(&mut self, now: Millis, token: u64, open: &OpenCall) {
+    pub(super) fn remove_waiting_call(&mut self, now: Millis, token: u64, open: &OpenCall) {
         let CallRoute::Local(id) = open.route else {
             return;
         };
@@ -500,76 +499,6 @@
         }
     }
 
-    fn expire(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
-        let expired = self
-            .open_calls
-            .iter()
-            .filter(|(_, open)| now >= open.deadline);
-        let expired: Vec<_> = expired.map(|(token, _)| *token).collect();
-        for token in expired {
-            let Some(open) = self.open_calls.remove(&token) else {
-                continue;
-            };
-            let may_have_run = match &open.route {
-                CallRoute::Local(id) => self.dispatcher.may_have_run(*id),
-                CallRoute::Parked(_) => false,
-                CallRoute::Forward { may_have_run, .. } => *may_have_run,
-            };
-            events::CALL_EXPIRED.log(format_args!(
-                "call={token} way={:?} may_have_run={may_have_run} after_ms={} leader={:?}",
-                open.route,
-                now.since(open.received_at).0,
-                self.leader
-            ));
-            self.remove_waiting_call(now, token, &open);
-            let reply = if may_have_run {
-                CallReply::Unknown
-            } else {
-                CallReply::Refused(RETRY_AFTER)
-            };
-            out.push(CallRouterOutput::Answer(token, reply));
-        }
-    }
-
-    /// Refuses local jobs that can no longer end in time to be of use, so that their callers learn
-    /// it at once: those that have not started, and, while useful jobs wait for resources, also
-    /// those that have. Also refuses calls that waited too long for the first configuration.
-    fn refuse_useless(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
-        let mut refused = Vec::new();
-        for (token, open) in self.open_calls.iter() {
-            let allowed = open.deadline.since(open.received_at).0;
-            let give_up_after = Millis(allowed * GIVE_UP_PERCENT / 100);
-            let waited = now.since(open.received_at);
-            let is_useless = match &open.route {
-                CallRoute::Local(id) => {
-                    let late = self.dispatcher.is_overdue(now, *id) || waited >= give_up_after;
-                    late && !self.dispatcher.may_have_run(*id)
-                        || self.dispatcher.blocks_useful_jobs(now, *id)
-                }
-                CallRoute::Parked(_) => waited >= MAX_PARKED,
-                CallRoute::Forward { .. } => false,
-            };
-            if is_useless {
-                refused.push((*token, waited));
-            }
-        }
-        for (token, waited) in refused {
-            if let Some(open) = self.open_calls.remove(&token) {
-                let reply = match open.route {
-                    CallRoute::Parked(_) => CallReply::NoConfig,
-                    CallRoute::Local(id) if self.dispatcher.may_have_run(id) => CallReply::Unknown,
-                    _ => CallReply::Refused(RETRY_AFTER),
-                };
-                events::REFUSED.log(format_args!(
-                    "call={token} way={:?} waited_ms={} reply={reply:?}",
-                    open.route, waited.0
-                ));
-                self.remove_waiting_call(now, token, &open);
-                out.push(CallRouterOutput::Answer(token, reply));
-            }
-        }
-    }
-
     /// Number of open calls.
     pub(crate) fn len(&self) -> usize {
         self.open_calls.len()
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod broadcast;
 pub(crate) mod bulkhead;
 pub(crate) mod call;
+pub(crate) mod call_expiry;
 pub(crate) mod call_router;
 pub(crate) mod crashes;
 pub(crate) mod demand;
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -503,3 +503,20 @@
         assert_eq!(fleet.overlaps(), [], "mute for {mute_for} ms");
     }
 }
+
+/// Guards against tasks that an entry starts after their caller's deadline, as it was paused and has
+/// not checked deadlines since.
+#[test]
+fn an_entry_that_was_paused_starts_nothing_after_the_deadline() {
+    let mut fleet = Fleet::new(1, 1, 300);
+    fleet.call(0, 1, submit(JobId(1), job(4, 300, true)), 5_000);
+    fleet.run(40);
+    fleet.call(0, 2, submit(JobId(2), job(1, 300, true)), 350);
+    fleet.entries[0].frozen = true;
+    fleet.run(400);
+    fleet.wake_entry(0);
+    fleet.run(500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert!(matches!(fleet.answer(0, 2), Some(CallReply::Refused(_))));
+    assert!(fleet.spans().iter().all(|s| s.task.job != JobId(2)));
+}
