Read an entry's clock for each event

An entry read its clock once for up to 64 events. Stopped between that and an event, for longer than a grant lasts (1.07 s with its margins), it counted a heartbeat that came meanwhile as heard before the stop, and granted time by the agent's later clock. Its next tick then took the runs of that agent for over while the agent held a valid grant: tasks could run twice at a time. The window is short, and needs sessions that are opened within the same turn.

The clock is now read after each event is taken.

--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -213,11 +213,13 @@
                 let Ok(event) = rx.try_recv() else {
                     break;
                 };
+                // Read after the event was taken: an earlier time may be older than a heartbeat,
+                // and so than the grant that follows from that.
                 if let Some(input) = self.handle_event(event) {
-                    self.router.step(now, input, &mut out);
+                    self.router.step(self.clock.now(), input, &mut out);
                 }
             }
-            self.router.flush(now, unix_now(), &mut out);
+            self.router.flush(self.clock.now(), unix_now(), &mut out);
             for output in out.drain(..) {
                 self.execute(output);
             }
