Revoke an order that meets an inventory without a backend server

Two runs of a task were at work at the same time; both could end as done, and the first was not told to stop. An agent that was paused for longer than its lease handles the answers of its backend server that wait, and sends inventories in turn: without a backend server as the lease has expired, with it, and again without. The entry orders a run after the second; the third, sent before that order arrived, does not list it. The entry revoked such a run only if the inventory named a backend server, else it counted as lost, and its task started again, while the agent, which had sent a fourth inventory, carried the order out.

A run that was ordered and not reported as started is now revoked in any case, and kept until the agent answers. An agent that does not hold the run, and has no backend server or none with a lease, answers at once that it did not start: no earlier start call can begin then.

`transient_jobs::an_order_that_meets_an_older_inventory_starts_no_second_run` failed before: with an agent paused for 360 ms, both runs of a task ended as done.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -451,6 +451,11 @@
                 self.usage_report_due = true;
                 self.call_start(now, task, run, payload, out);
             }
+            AgentOrder::Revoke { task, run } if self.can_no_longer_start(now, (task, run)) => {
+                let reason = Denial::Closed;
+                let report = AgentReport::NotStarted { task, run, reason };
+                out.push(ServerAgentOutput::Report(owner, report));
+            }
             AgentOrder::Revoke { task, run } => {
                 let unknown = || AgentRun::starting(owner, Resources::default(), now);
                 self.runs.or_insert_with((task, run), unknown);
@@ -468,6 +473,13 @@
         }
     }
 
+    /// True for a run that the agent does not hold and that no start call of earlier can begin: there
+    /// is no backend server, or the lease of such calls has expired.
+    fn can_no_longer_start(&self, now: Millis, key: (TaskId, RunId)) -> bool {
+        let has_no_lease = self.server.is_none() || now > self.lease_bound();
+        has_no_lease && self.runs.get(&key).is_none()
+    }
+
     /// Returns why a run may not start now, or `None` if it may.
     pub(crate) fn denial_reason(
         &self,
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -269,7 +269,9 @@
     }
 
     /// Revokes a run that is missing from the agent's inventory. An agent that has restarted does
-    /// not know of an unanswered start, which may still reach the backend server. Returns true if
+    /// not know of an unanswered start, which may still reach the backend server. An order that was
+    /// sent before the inventory arrived may still be carried out, also by an agent that had no use
+    /// of its backend server when it sent the inventory. Returns true if
     /// the run is being revoked; it is kept until the agent answers.
     fn revoke_run(
         &mut self,
@@ -278,7 +280,7 @@
         out: &mut Vec<DispatchOutput>,
     ) -> bool {
         let worker = &mut self.workers[id.0];
-        let (Some(session), true) = (worker.session, worker.server.is_some()) else {
+        let Some(session) = worker.session else {
             return false;
         };
         let Some(placed) = worker.runs.get_mut(&key) else {
