--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -7,7 +7,7 @@
 
 use fulmardrift::{
     Call, CallReply, CallRouterInput, ClientAction, JobId, JobStatus, Millis, RunOutcome,
-    ServerAgentInput,
+    ServerAgentInput, Term,
 };
 
 use fleet::{Fleet, job, submit};
@@ -482,3 +482,65 @@
     assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
     assert_eq!(fleet.overlaps(), []);
 }
+
+/// Guards against a lease that outlasts the agent's bound for it, as the last reading of the backend
+/// server's slow clock was long ago (TWICE).
+#[test]
+fn the_lease_of_a_mute_backend_server_with_a_slow_clock_ends_in_time() {
+    for mute_for in [1_000, 4_000, 8_000, 14_000] {
+        let mut fleet = Fleet::new(1, 2, 30_000);
+        for slot in &mut fleet.agents {
+            slot.server.slow_clock_percent = 2;
+        }
+        fleet.run(1_000);
+        fleet.call(0, 1, submit(JobId(7), job(4, 30_000, true)), 90_000);
+        fleet.run(100);
+        fleet.agents[0].mute = true;
+        fleet.run(mute_for);
+        fleet.agents[0].server.refuses_until = fleet.now + Millis(3_000);
+        fleet.run(3_000);
+        assert!(fleet.spans().len() > 4, "none started elsewhere");
+        assert_eq!(fleet.overlaps(), [], "mute for {mute_for} ms");
+    }
+}
+
+/// Guards against tasks that an entry starts after their caller's deadline, as it was paused and has
+/// not checked deadlines since.
+#[test]
+fn an_entry_that_was_paused_starts_nothing_after_the_deadline() {
+    let mut fleet = Fleet::new(1, 1, 300);
+    fleet.call(0, 1, submit(JobId(1), job(4, 300, true)), 5_000);
+    fleet.run(40);
+    fleet.call(0, 2, submit(JobId(2), job(1, 300, true)), 350);
+    fleet.entries[0].frozen = true;
+    fleet.run(400);
+    fleet.wake_entry(0);
+    fleet.run(500);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert!(matches!(fleet.answer(0, 2), Some(CallReply::Refused(_))));
+    assert!(fleet.spans().iter().all(|s| s.task.job != JobId(2)));
+}
+
+/// Guards against a task that is started again while its order is under way to an agent that was
+/// paused: an inventory that the agent had sent before says that it has no backend server.
+#[test]
+fn an_order_that_meets_an_older_inventory_starts_no_second_run() {
+    for paused_for in (320..780).step_by(20) {
+        let mut fleet = Fleet::new(2, 2, 1_500);
+        // Leases of an earlier life of the agents count until then.
+        fleet.run(1_000);
+        fleet.call(0, 1, submit(JobId(1), job(4, 1_500, true)), 9_000);
+        fleet.call(0, 2, submit(JobId(2), job(4, 1_500, true)), 9_000);
+        fleet.call(1, 3, submit(JobId(3), job(4, 1_500, true)), 9_000);
+        fleet.run(100);
+        // Several hold calls are open when it pauses.
+        for _ in 0..3 {
+            fleet.agent_input(0, ServerAgentInput::Leader(Some(Term(1))));
+        }
+        fleet.agents[0].frozen = true;
+        fleet.run(paused_for);
+        fleet.wake(0);
+        fleet.run(9_000);
+        assert_eq!(fleet.overlaps(), [], "paused for {paused_for} ms");
+    }
+}
