Cut off a last write that a power loss tore, whatever sectors it lacks

What callers saw: after a loss of power at many machines, control instances ended at each start ("record at byte N is damaged"), so there was no leader and no configuration.

Cause: only a file that ends within its last record counted as torn. A last write whose sectors are missing in the middle, with the file's full length, was damage, and so was one of several records of which a later one is whole.

Change: each body ends with a mark that says whether its record is the first of its write. A write is synced before the next, so an invalid record is cut off if no other write follows and bytes are missing: the file ends within it, a sector is all zeros, or the file ends with a zero. All else stays damage: flipped bits, and lost sectors in front of another write. Files without marks are read as before; an earlier version reads the new files, since it ignores what follows a record in its body (tested with the same decoder call). A last write of the earlier version that was torn in the middle is cut off as well if a sector is zero and no record follows.

What it may cut wrongly: a synced last write with a bit flipped that by chance also holds a sector, or the part of one at the record's start, of zeros only. The disk would have to be at fault, which replication is for.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,7 +96,7 @@
 };
 pub use crate::node::output::start_output;
 pub use crate::shell::stand_in::StandInCounts;
-pub use crate::store::frame::{FrameError, Frames, decode_records, encode_record};
+pub use crate::store::frame::{FrameError, Frames, decode_records, encode_write};
 pub use crate::store::log_directory::LogDirectory;
 pub use crate::store::wal::{Storage, Wal, WalError};
 pub use crate::store::writer::{Batch, start_writer};
--- a/src/store/wal.rs
+++ b/src/store/wal.rs
@@ -100,8 +100,7 @@
         let mut records = frames.records;
         let disk = match records.first() {
             None => {
-                let mut buf = Vec::new();
-                frame::encode_record(&Record::Disk(new_disk), &mut buf).context(DamageSnafu)?;
+                let buf = encode_write(&[Record::Disk(new_disk)])?;
                 storage.replace(&buf).context(IoSnafu {
                     operation: "create",
                 })?;
@@ -131,11 +130,11 @@
     pub fn write(&mut self, records: &[Record]) -> Result<(), WalError> {
         let is_snapshot = |r: &Record| matches!(r, Record::Snapshot(_));
         match (records.iter().rposition(is_snapshot), self.failed) {
-            (None, None) => self.append(&encode_all(records)?),
+            (None, None) => self.append(&encode_write(records)?),
             // Whichever file is the current one, it is replaced.
             (Some(at), None | Some(FailedWrite::Replace)) => {
-                let mut buf = encode_all(&[Record::Disk(self.disk)])?;
-                buf.extend(encode_all(&records[at..])?);
+                let mut buf = encode_write(&[Record::Disk(self.disk)])?;
+                buf.extend(encode_write(&records[at..])?);
                 self.replace(&buf)
             }
             (_, Some(_)) => FailedSnafu.fail(),
@@ -186,10 +185,6 @@
     }
 }
 
-fn encode_all(records: &[Record]) -> Result<Vec<u8>, WalError> {
-    let mut buf = Vec::new();
-    for record in records {
-        frame::encode_record(record, &mut buf).context(DamageSnafu)?;
-    }
-    Ok(buf)
+fn encode_write(records: &[Record]) -> Result<Vec<u8>, WalError> {
+    frame::encode_write(records).context(DamageSnafu)
 }
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fulmardrift::{
     Batch, DiskId, FrameError, Index, LogDirectory, LogEntry, Payload, Position, RaftInput, Record,
-    ReplicaId, Snapshot, Storage, Term, Wal, WalError, decode_records, encode_record, start_writer,
+    ReplicaId, Snapshot, Storage, Term, Wal, WalError, decode_records, encode_write, start_writer,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -31,49 +31,87 @@
     ]
 }
 
+/// Each record as a write of its own.
 fn encode(records: &[Record]) -> Vec<u8> {
+    let writes = records.iter().map(std::slice::from_ref);
+    writes
+        .flat_map(|write| encode_write(write).unwrap())
+        .collect()
+}
+
+/// The records as versions without marks wrote them.
+fn encode_unmarked(records: &[Record]) -> Vec<u8> {
     let mut buf = Vec::new();
     for record in records {
-        encode_record(record, &mut buf).unwrap();
+        let body = postcard::to_stdvec(record).unwrap();
+        let length = u32::try_from(body.len()).unwrap().to_le_bytes();
+        let checksum = crc32fast::hash(&[&length, body.as_slice()].concat());
+        buf.extend([length, checksum.to_le_bytes()].concat());
+        buf.extend(body);
     }
     buf
 }
 
+const ENCODERS: [fn(&[Record]) -> Vec<u8>; 2] = [encode, encode_unmarked];
+
 #[test]
 fn a_tail_torn_at_any_byte_of_the_last_record_is_cut_off() {
     let all = records();
-    let encoded = encode(&all);
-    let valid_len = encode(&all[..3]).len();
-    for cut in valid_len..encoded.len() {
-        let frames = decode_records(&encoded[..cut]).unwrap();
-        assert_eq!(frames.records, all[..3], "cut at {cut}");
-        assert_eq!(frames.valid_len, valid_len);
+    for encode in ENCODERS {
+        let encoded = encode(&all);
+        let valid_len = encode(&all[..3]).len();
+        for cut in valid_len..encoded.len() {
+            let frames = decode_records(&encoded[..cut]).unwrap();
+            assert_eq!(frames.records, all[..3], "cut at {cut}");
+            assert_eq!(frames.valid_len, valid_len);
+        }
     }
 }
 
 #[test]
 fn a_flipped_bit_is_damage_and_never_another_state() {
     let all = records();
-    let encoded = encode(&all);
-    for at in 0..encoded.len() {
-        for bit in 0..8 {
-            let mut bad = encoded.clone();
-            bad[at] ^= 1 << bit;
-            match decode_records(&bad) {
-                Err(FrameError::Damaged { .. } | FrameError::Decode { .. }) => {}
-                Err(other) => panic!("{other}"),
-                // Only a greater length of the last record looks like an incomplete write, since no
-                // complete record follows it.
-                Ok(frames) => {
-                    assert_eq!(frames.records, all[..3], "byte {at} bit {bit}");
-                    let last = encode(&all[..3]).len();
-                    assert!((last..last + 4).contains(&at), "byte {at} bit {bit}");
+    for encode in ENCODERS {
+        let encoded = encode(&all);
+        let last = encode(&all[..3]).len();
+        for at in 0..encoded.len() {
+            for bit in 0..8 {
+                let mut bad = encoded.clone();
+                bad[at] ^= 1 << bit;
+                match decode_records(&bad) {
+                    Err(FrameError::Damaged { .. } | FrameError::Decode { .. }) => {}
+                    Err(other) => panic!("{other}"),
+                    // Only a greater length of the last record looks like an incomplete write,
+                    // since no complete record follows it.
+                    Ok(frames) => {
+                        assert_eq!(frames.records, all[..3], "byte {at} bit {bit}");
+                        assert!((last..last + 4).contains(&at), "byte {at} bit {bit}");
+                    }
                 }
             }
         }
     }
 }
 
+/// An earlier version ignores what follows the record in a body.
+#[test]
+fn files_of_versions_without_marks_are_read_and_theirs_read_these() {
+    let all = records();
+    assert_eq!(decode_records(&encode_unmarked(&all)).unwrap().records, all);
+    let mixed = [
+        encode_unmarked(&all[..2]),
+        encode_write(&all[2..]).unwrap(),
+        encode_unmarked(&all[3..]),
+    ];
+    let read = decode_records(&mixed.concat()).unwrap().records;
+    assert_eq!(read, [&all[..], &all[3..]].concat());
+    for record in &all {
+        let write = encode_write(std::slice::from_ref(record)).unwrap();
+        let body = &write[8..];
+        assert_eq!(&postcard::from_bytes::<Record>(body).unwrap(), record);
+    }
+}
+
 proptest! {
     #![proptest_config(Config { cases: 512, rng_seed: RngSeed::Fixed(11), ..Config::default() })]
 
@@ -392,14 +430,16 @@
     ) {
         let mut all = vec![Record::Disk(DiskId(1)), Record::Snapshot(snapshot(3))];
         all.extend((4..4 + count).map(|i| Record::Entries(vec![entry(i)])));
-        let mut bytes = encode(&all);
-        let at = at % bytes.len();
-        for (place, byte) in bytes[at..].iter_mut().zip(&damage) {
-            *place = *byte;
-        }
-        bytes.truncate(bytes.len() - lost.min(bytes.len()));
-        if let Ok(frames) = decode_records(&bytes) {
-            prop_assert!(all.starts_with(&frames.records));
+        for encode in ENCODERS {
+            let mut bytes = encode(&all);
+            let at = at % bytes.len();
+            for (place, byte) in bytes[at..].iter_mut().zip(&damage) {
+                *place = *byte;
+            }
+            bytes.truncate(bytes.len() - lost.min(bytes.len()));
+            if let Ok(frames) = decode_records(&bytes) {
+                prop_assert!(all.starts_with(&frames.records));
+            }
         }
     }
 }
