Sync the log and its folder before what they hold is used

What callers saw: nothing yet; found by reading. A process that is killed between the write and the sync of its log, or between the rename of a new log and the sync of the folder, leaves a file that reads as if it were durable. The next process acknowledged what it read, and a power loss could then take it: an acknowledged change lost.

Change: Storage has a sync, and Wal::open calls it before it reads.

Evidence: tests/torn_writes.rs, what_an_earlier_process_did_not_sync_is_synced_before_it_is_used, failed without the call and passes with it. The fakes of tests/store.rs and tests/log_bounds.rs have no unsynced state, so their sync does nothing.

--- a/src/store/log_directory.rs
+++ b/src/store/log_directory.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    fn sync(&mut self) -> io::Result<()> {
+        match File::open(self.log_path()) {
+            Ok(file) => file.sync_all()?,
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            Err(error) => return Err(error),
+        }
+        self.sync_directory()
+    }
+
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         let file = OpenOptions::new().write(true).open(self.log_path())?;
         file.set_len(len as u64)?;
--- a/src/store/wal.rs
+++ b/src/store/wal.rs
@@ -15,6 +15,14 @@
     /// The file cannot be read.
     fn read(&mut self) -> std::io::Result<Vec<u8>>;
 
+    /// Makes the current file, its name and the absence of others durable. What an earlier process
+    /// wrote and did not sync reads the same as what it synced.
+    ///
+    /// # Errors
+    ///
+    /// The file may not be durable.
+    fn sync(&mut self) -> std::io::Result<()>;
+
     /// Truncates the current file to `len` bytes, durably.
     ///
     /// # Errors
@@ -89,6 +97,7 @@
     ///
     /// The storage fails, or the log is damaged or has no disk identity.
     pub fn open(mut storage: S, new_disk: DiskId) -> Result<(Self, Durable), WalError> {
+        storage.sync().context(IoSnafu { operation: "sync" })?;
         let bytes = storage.read().context(IoSnafu { operation: "read" })?;
         let frames = frame::decode_records(&bytes).context(DamageSnafu)?;
         if frames.valid_len < bytes.len() {
--- a/tests/log_bounds.rs
+++ b/tests/log_bounds.rs
@@ -55,6 +55,10 @@
         Ok(self.file.lock().unwrap().clone())
     }
 
+    fn sync(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         self.file.lock().unwrap().truncate(len);
         Ok(())
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -188,6 +188,10 @@
         Ok(self.content.lock().unwrap().clone())
     }
 
+    fn sync(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         self.content.lock().unwrap().truncate(len);
         Ok(())
@@ -334,6 +338,10 @@
         Ok(self.content.lock().unwrap().clone())
     }
 
+    fn sync(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         self.content.lock().unwrap().truncate(len);
         Ok(())
--- a/tests/torn_writes.rs
+++ b/tests/torn_writes.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Default)]
 struct Disk {
     content: Arc<Mutex<Vec<u8>>>,
+    synced_len: Arc<Mutex<usize>>,
 }
 
 impl Disk {
@@ -41,6 +42,11 @@
         Ok(self.content.lock().unwrap().clone())
     }
 
+    fn sync(&mut self) -> io::Result<()> {
+        *self.synced_len.lock().unwrap() = self.len();
+        Ok(())
+    }
+
     fn truncate(&mut self, len: usize) -> io::Result<()> {
         self.content.lock().unwrap().truncate(len);
         Ok(())
@@ -168,3 +174,16 @@
         assert!(read.len() >= 2, "{kept} bytes");
     }
 }
+
+/// Guards against records that an instance acknowledges as they stand in its file, and that a power
+/// loss takes: the process that wrote them was killed before its sync.
+#[test]
+fn what_an_earlier_process_did_not_sync_is_synced_before_it_is_used() {
+    let disk = Disk::default();
+    let (mut wal, _) = open(&disk).unwrap();
+    wal.write(&[entries(1, vec![7; 50])]).unwrap();
+    *disk.synced_len.lock().unwrap() = 0;
+    let (_, read) = open(&disk).unwrap();
+    assert_eq!(read.len(), 2);
+    assert_eq!(*disk.synced_len.lock().unwrap(), disk.len());
+}
