--- a/src/events.rs
+++ b/src/events.rs
@@ -37,6 +37,8 @@
     UNDEFINED = 104 Warn "undefined-transition";
     /// A network server of this process failed, or could not accept a connection.
     SERVER_FAILED = 105 Error "server-failed";
+    /// A part of this process panicked, so the process ends.
+    PANICKED = 107 Error "panicked";
     /// The control group registered this process under an incarnation.
     JOINED = 200 Info "joined";
     /// The control group declared this process dead; it registers again.
--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -81,6 +81,11 @@
         self.input(ServerAgentInput::Replied(id, reply)).await;
     }
 
+    /// Returns once the agent has ended. None does while its process runs, unless it has failed.
+    pub async fn ended(&self) {
+        self.tx.closed().await;
+    }
+
     /// Replaces the addresses of control instances that the agent contacts first.
     pub async fn set_seeds(&self, seeds: Vec<SocketAddrV4>) {
         if self.tx.send(Event::Seeds(seeds)).await.is_err() {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -188,6 +188,11 @@
             return CallReply::NotLeader;
         }
         rx.await.unwrap_or(CallReply::Unknown)
+    /// Returns once the instance has stopped, or has failed.
+    pub async fn ended(&self) {
+        self.tx.closed().await;
+    }
+
     }
 
     /// Returns the leader's address for sessions, if this instance knows it.
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -126,6 +126,11 @@
         reply
     }
 
+    /// Returns once the entry has ended. None does while its process runs, unless it has failed.
+    pub async fn ended(&self) {
+        self.tx.closed().await;
+    }
+
     /// Replaces the addresses of control instances that the entry contacts first.
     pub async fn set_seeds(&self, seeds: Vec<SocketAddrV4>) {
         if self.tx.send(Event::Seeds(seeds)).await.is_err() {
