Wait for an address that another process still holds

What callers saw: a process that started before its predecessor had ended, or beside another program on one of its ports, ended at once with "Address already in use" and counted as failed.

Change: it logs E106 once, tries again every 100 ms for 15 s, and only then ends.

--- a/src/events.rs
+++ b/src/events.rs
@@ -37,6 +37,8 @@
     UNDEFINED = 104 Warn "undefined-transition";
     /// A network server of this process failed, or could not accept a connection.
     SERVER_FAILED = 105 Error "server-failed";
+    /// Another process holds an address that this one is to listen on.
+    ADDRESS_HELD = 106 Warn "address-held";
     /// A part of this process panicked, so the process ends.
     PANICKED = 107 Error "panicked";
     /// The control group registered this process under an incarnation.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,6 +94,7 @@
     FragmentError, MessageDecoder, MessageEncoder, Priority, announce_fragments,
     announces_fragments,
 };
+pub use crate::node::listen::listen;
 pub use crate::node::output::{end_on_panic, flush_output, start_output};
 pub use crate::shell::stand_in::StandInCounts;
 pub use crate::store::frame::{FrameError, Frames, decode_records, encode_write};
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -8,13 +8,13 @@
 
 use rand::RngExt;
 use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::address::{replica_address, replica_id};
 use super::link::{self, Link, LinkEvent};
 use super::sessions::{self, SessionEvent, SessionQueues};
+use super::listen::listen;
 use crate::control::log::{DiskId, ReplicaId};
 use crate::control::message::Message;
 use crate::control::raft::{Raft, RaftInput, RaftOutput, RaftTiming};
@@ -136,9 +136,7 @@
         let (wal, durable) = Wal::open(directory, new_disk_id).context(DataLogSnafu)?;
         let open_duration = clock.now().since(open_started_at);
         let address = cfg.address;
-        let listener = TcpListener::bind(address)
-            .await
-            .context(ListenSnafu { address })?;
+        let listener = listen(address).await.context(ListenSnafu { address })?;
         let own_id = replica_id(address);
         let seed_ids: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
         let founder = cfg.founder && seed_ids.contains(&own_id);
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::address::replica_id;
 use super::link::LinkEvent;
 use super::links::{ControlLinks, LeaderUpdate};
+use super::listen::listen;
 use super::sessions::{self, SessionEvent, SessionQueues};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -67,7 +67,7 @@
     /// The entry cannot listen on its address.
     pub async fn start(cfg: EntryNodeConfig) -> std::io::Result<Self> {
         let clock = Clock::new();
-        let listener = TcpListener::bind(cfg.address).await?;
+        let listener = listen(cfg.address).await?;
         let life = rand::rng().random_range(1..u64::MAX);
         let (link_tx, link_rx) = mpsc::channel(EVENT_QUEUE_LEN);
         let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
--- /dev/null
+++ b/src/node/listen.rs
@@ -0,0 +1,35 @@
+//! Listening on an address that a process which is about to end may still hold.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::events;
+
+/// Time between two tries.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Most tries. A process that is told to stop takes some seconds.
+const MAX_TRIES: u32 = 150;
+
+/// Listens on `address`. While another process holds it, tries again for 15 s.
+///
+/// # Errors
+///
+/// The address is held for longer, or cannot be used.
+pub async fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
+    for tried in 1..MAX_TRIES {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+                if tried == 1 {
+                    events::ADDRESS_HELD.log(format_args!("address={address}: {error}"));
+                }
+                sleep(RETRY_INTERVAL).await;
+            }
+            other => return other,
+        }
+    }
+    TcpListener::bind(address).await
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod link;
 pub(crate) mod links;
 pub(crate) mod outgoing;
+pub(crate) mod listen;
 pub(crate) mod output;
 pub(crate) mod sessions;
 pub(crate) mod timer;
