Wait for room when the disk is full at a start

What callers saw: a control instance that starts on a full disk, empty or with a torn write to cut off, ended with "cannot create the log" at each start, although one that runs waits for room.

Change: it logs E300 once, tries to open the log every 100 ms, and can be stopped meanwhile. Only a full disk, a used-up quota and a limit of the file size are waited for. Opening moves to node/disk.rs.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddrV4;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -12,9 +12,10 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::address::{replica_address, replica_id};
+use super::disk::{OpenLog, file_bound, open_log};
 use super::link::{self, Link, LinkEvent};
-use super::sessions::{self, SessionEvent, SessionQueues};
 use super::listen::listen;
+use super::sessions::{self, SessionEvent, SessionQueues};
 use crate::control::log::{DiskId, ReplicaId};
 use crate::control::message::Message;
 use crate::control::raft::{Raft, RaftInput, RaftOutput, RaftTiming};
@@ -26,8 +27,7 @@
 use crate::dispatch::wire::{Initiator, InitiatorMessage};
 use crate::events;
 use crate::shell::clock::Clock;
-use crate::store::log_directory::LogDirectory;
-use crate::store::wal::{Wal, WalError};
+use crate::store::wal::WalError;
 use crate::store::writer::{Batch, start_writer};
 
 /// Interval between an instance's ticks.
@@ -47,21 +47,10 @@
 /// How long a stop may take, in ticks: a stopping leader waits for another replica to take over.
 const MAX_STOP_TICKS: u32 = 75;
 
-/// The log's files may take three eighths of the disk.
-const DISK_SHARE: (u64, u64) = (3, 8);
-/// Assumed size of a disk whose size cannot be found, in bytes.
-const DEFAULT_DISK_SIZE: u64 = 128_000_000;
-
 /// Why a control instance cannot start.
 #[derive(Debug, Snafu)]
 pub enum ControlStartError {
-    /// The data directory cannot be used.
-    #[snafu(display("data directory: {source}"))]
-    DataDirectory {
-        /// The I/O error.
-        source: io::Error,
-    },
-    /// The log cannot be used.
+    /// The data directory or the log cannot be used.
     #[snafu(display("{source}"))]
     DataLog {
         /// The reason.
@@ -132,8 +121,8 @@
         let clock = Clock::new();
         let open_started_at = clock.now();
         let new_disk_id = DiskId(rand::rng().random_range(1..u64::MAX));
-        let directory = LogDirectory::open(&cfg.data).context(DataDirectorySnafu)?;
-        let (wal, durable) = Wal::open(directory, new_disk_id).context(DataLogSnafu)?;
+        let opened = open_log(&cfg.data, new_disk_id).await;
+        let OpenLog { wal, durable } = opened.context(DataLogSnafu)?;
         let open_duration = clock.now().since(open_started_at);
         let address = cfg.address;
         let listener = listen(address).await.context(ListenSnafu { address })?;
@@ -186,11 +175,6 @@
             return CallReply::NotLeader;
         }
         rx.await.unwrap_or(CallReply::Unknown)
-    /// Returns once the instance has stopped, or has failed.
-    pub async fn ended(&self) {
-        self.tx.closed().await;
-    }
-
     }
 
     /// Returns the leader's address for sessions, if this instance knows it.
@@ -199,6 +183,11 @@
         *self.leader.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns once the instance has stopped, or has failed.
+    pub async fn ended(&self) {
+        self.tx.closed().await;
+    }
+
     /// Stops the instance: hands leadership over and completes the open calls. There is no time
     /// limit; [`stop_within`] sets one.
     pub async fn stop(&self) {
@@ -211,20 +200,6 @@
     }
 }
 
-/// Largest size of the log's files together, in bytes: a part of the disk's size.
-fn file_bound(disk: Option<u64>, data: &Path) -> usize {
-    let size = disk.or_else(|| match rustix::fs::statvfs(data) {
-        Ok(found) => Some(found.f_blocks.saturating_mul(found.f_frsize)),
-        Err(error) => {
-            log::warn!("cannot read the size of the disk: {error}");
-            None
-        }
-    });
-    let (part, whole) = DISK_SHARE;
-    let bound = size.unwrap_or(DEFAULT_DISK_SIZE) / whole * part;
-    usize::try_from(bound).unwrap_or(usize::MAX)
-}
-
 /// Returns a sender whose link events are discarded: peers answer over their own links.
 fn ignore_links() -> mpsc::Sender<LinkEvent> {
     let (tx, mut rx) = mpsc::channel(EVENT_QUEUE_LEN);
--- /dev/null
+++ b/src/node/disk.rs
@@ -0,0 +1,80 @@
+//! Opens the log of a control instance at its start.
+
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::control::log::DiskId;
+use crate::control::raft::Durable;
+use crate::events;
+use crate::store::log_directory::LogDirectory;
+use crate::store::wal::{Wal, WalError};
+
+/// Time between two tries to open a log on a full disk.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// The log's files may take three eighths of the disk.
+const DISK_SHARE: (u64, u64) = (3, 8);
+/// Assumed size of a disk whose size cannot be found, in bytes.
+const DEFAULT_DISK_SIZE: u64 = 128_000_000;
+
+/// An opened log.
+pub(crate) struct OpenLog {
+    pub(crate) wal: Wal<LogDirectory>,
+    pub(crate) durable: Durable,
+}
+
+/// Opens the log in the data directory. Waits while the disk is full.
+pub(crate) async fn open_log(data: &Path, new_disk: DiskId) -> Result<OpenLog, WalError> {
+    let mut is_first_try = true;
+    loop {
+        match try_open(data, new_disk) {
+            Err(error) if is_full(&error) => {
+                if is_first_try {
+                    events::LOG_FAILED.log(format_args!("{error}"));
+                }
+                is_first_try = false;
+                sleep(RETRY_INTERVAL).await;
+            }
+            other => return other,
+        }
+    }
+}
+
+fn try_open(data: &Path, new_disk: DiskId) -> Result<OpenLog, WalError> {
+    let (wal, durable) = Wal::open(open_directory(data)?, new_disk)?;
+    Ok(OpenLog { wal, durable })
+}
+
+fn open_directory(data: &Path) -> Result<LogDirectory, WalError> {
+    LogDirectory::open(data).map_err(|source| io_error("open the directory of", source))
+}
+
+fn io_error(operation: &'static str, source: io::Error) -> WalError {
+    WalError::Io { operation, source }
+}
+
+fn is_full(error: &WalError) -> bool {
+    let WalError::Io { source, .. } = error else {
+        return false;
+    };
+    matches!(
+        source.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded | io::ErrorKind::FileTooLarge
+    )
+}
+
+/// Largest size of the log's files together, in bytes: a part of the disk's size.
+pub(crate) fn file_bound(disk: Option<u64>, data: &Path) -> usize {
+    let size = disk.or_else(|| match rustix::fs::statvfs(data) {
+        Ok(found) => Some(found.f_blocks.saturating_mul(found.f_frsize)),
+        Err(error) => {
+            log::warn!("cannot read the size of the disk: {error}");
+            None
+        }
+    });
+    let (part, whole) = DISK_SHARE;
+    let bound = size.unwrap_or(DEFAULT_DISK_SIZE) / whole * part;
+    usize::try_from(bound).unwrap_or(usize::MAX)
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,14 +7,15 @@
 pub(crate) mod address;
 pub(crate) mod agent;
 pub(crate) mod control;
+pub(crate) mod disk;
 pub(crate) mod entry;
 pub(crate) mod entry_links;
 pub(crate) mod fragments;
 pub(crate) mod frames;
 pub(crate) mod link;
 pub(crate) mod links;
-pub(crate) mod outgoing;
 pub(crate) mod listen;
+pub(crate) mod outgoing;
 pub(crate) mod output;
 pub(crate) mod sessions;
 pub(crate) mod timer;
