Set a damaged log aside and start as an instance that lost its disk

What callers saw: an instance whose log is damaged ended at each start and was started again for ever, so the group bore one loss less until an operator came.

Change: the log is renamed to log.damaged, at most one, E309 is logged, and the instance starts empty with a new disk identity, as after a lost disk: its vote counts for nothing until it has caught up. As long as that file is there, it founds no group, even if its settings say that this is the first start. Only a wrong checksum of what was synced counts as damage. A log whose records or state this version does not decode still ends the process: after a step back to an older version all instances would otherwise empty their disks. `fulmardriftd regroup` refuses as before.

Weighed: if a majority's logs are damaged at once, there is no leader either way; the files are kept.

That the group takes it back in is what the present tests of lost disks show; no new run with a group of three was made.

--- a/src/events.rs
+++ b/src/events.rs
@@ -67,6 +67,8 @@
     NO_LEADER = 307 Warn "no-leader";
     /// The write-ahead log can be written again.
     LOG_RECOVERED = 308 Warn "log-recovered";
+    /// The write-ahead log was damaged, and was set aside.
+    LOG_DAMAGED = 309 Error "log-damaged";
     /// A leader refuses new configurations and jobs, as the log's files would exceed their bound.
     ROOM_SHORT = 310 Error "room-short";
     /// A leader takes new configurations and jobs again.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -122,13 +122,18 @@
         let open_started_at = clock.now();
         let new_disk_id = DiskId(rand::rng().random_range(1..u64::MAX));
         let opened = open_log(&cfg.data, new_disk_id).await;
-        let OpenLog { wal, durable } = opened.context(DataLogSnafu)?;
+        let OpenLog {
+            wal,
+            durable,
+            was_damaged,
+        } = opened.context(DataLogSnafu)?;
         let open_duration = clock.now().since(open_started_at);
         let address = cfg.address;
         let listener = listen(address).await.context(ListenSnafu { address })?;
         let own_id = replica_id(address);
         let seed_ids: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
-        let founder = cfg.founder && seed_ids.contains(&own_id);
+        // What the damaged log held may have been acknowledged.
+        let founder = cfg.founder && seed_ids.contains(&own_id) && !was_damaged;
         let peers = seed_ids.into_iter().filter(|id| *id != own_id).collect();
         let seed = rand::rng().random();
         let target_size = cfg.seeds.len().max(2 * cfg.tolerated_losses + 1);
--- a/src/node/disk.rs
+++ b/src/node/disk.rs
@@ -9,6 +9,7 @@
 use crate::control::log::DiskId;
 use crate::control::raft::Durable;
 use crate::events;
+use crate::store::frame::FrameError;
 use crate::store::log_directory::LogDirectory;
 use crate::store::wal::{Wal, WalError};
 
@@ -23,9 +24,13 @@
 pub(crate) struct OpenLog {
     pub(crate) wal: Wal<LogDirectory>,
     pub(crate) durable: Durable,
+    /// This or an earlier start set a damaged log aside.
+    pub(crate) was_damaged: bool,
 }
 
-/// Opens the log in the data directory. Waits while the disk is full.
+/// Opens the log in the data directory. Waits while the disk is full. A damaged log is set aside:
+/// its disk counts as lost, and the empty log gets the identity `new_disk`, so that no vote rests
+/// on what the damaged one held. A log of a version that this one does not know is left alone.
 pub(crate) async fn open_log(data: &Path, new_disk: DiskId) -> Result<OpenLog, WalError> {
     let mut is_first_try = true;
     loop {
@@ -43,8 +48,27 @@
 }
 
 fn try_open(data: &Path, new_disk: DiskId) -> Result<OpenLog, WalError> {
-    let (wal, durable) = Wal::open(open_directory(data)?, new_disk)?;
-    Ok(OpenLog { wal, durable })
+    let opened = Wal::open(open_directory(data)?, new_disk);
+    let (wal, durable) = match opened {
+        Err(
+            error @ WalError::Damage {
+                source: FrameError::Damaged { .. },
+            },
+        ) => {
+            let directory = open_directory(data)?;
+            directory
+                .set_aside()
+                .map_err(|source| io_error("set aside", source))?;
+            events::LOG_DAMAGED.log(format_args!("{error}"));
+            Wal::open(directory, new_disk)?
+        }
+        other => other?,
+    };
+    Ok(OpenLog {
+        wal,
+        durable,
+        was_damaged: open_directory(data)?.has_damaged(),
+    })
 }
 
 fn open_directory(data: &Path) -> Result<LogDirectory, WalError> {
--- a/src/store/log_directory.rs
+++ b/src/store/log_directory.rs
@@ -8,6 +8,8 @@
 
 const LOG_FILE: &str = "log";
 const NEW_LOG_FILE: &str = "log.new";
+/// A damaged log, kept for operators.
+const DAMAGED_FILE: &str = "log.damaged";
 /// A longer file is not read into memory, in bytes.
 const MAX_FILE_LEN: u64 = 1 << 30;
 
@@ -42,6 +44,17 @@
         }
     }
 
+    /// Renames a damaged log, in place of an earlier one, so that the directory holds no log.
+    pub(crate) fn set_aside(&self) -> io::Result<()> {
+        fs::rename(self.log_path(), self.path.join(DAMAGED_FILE))?;
+        self.sync_directory()
+    }
+
+    /// True if a damaged log is kept here.
+    pub(crate) fn has_damaged(&self) -> bool {
+        self.path.join(DAMAGED_FILE).exists()
+    }
+
     fn write_new(&self, bytes: &[u8]) -> io::Result<()> {
         let mut file = File::create(self.path.join(NEW_LOG_FILE))?;
         file.write_all(bytes)?;
