--- a/tests/store.rs
+++ b/tests/store.rs
@@ -52,7 +52,9 @@
     buf
 }
 
-const ENCODERS: [fn(&[Record]) -> Vec<u8>; 2] = [encode, encode_unmarked];
+type Encoder = fn(&[Record]) -> Vec<u8>;
+
+const ENCODERS: [Encoder; 2] = [encode, encode_unmarked];
 
 #[test]
 fn a_tail_torn_at_any_byte_of_the_last_record_is_cut_off() {
