Merge the ways in which a process ends by itself

A damaged log's instance does not count as one at its first start, and a founder mark that cannot be written is a warning.

--- a/src/events.rs
+++ b/src/events.rs
@@ -37,6 +37,10 @@
     UNDEFINED = 104 Warn "undefined-transition";
     /// A network server of this process failed, or could not accept a connection.
     SERVER_FAILED = 105 Error "server-failed";
+    /// Another process holds an address that this one is to listen on.
+    ADDRESS_HELD = 106 Warn "address-held";
+    /// A part of this process panicked, so the process ends.
+    PANICKED = 107 Error "panicked";
     /// The control group registered this process under an incarnation.
     JOINED = 200 Info "joined";
     /// The control group declared this process dead; it registers again.
@@ -63,6 +67,8 @@
     NO_LEADER = 307 Warn "no-leader";
     /// The write-ahead log can be written again.
     LOG_RECOVERED = 308 Warn "log-recovered";
+    /// The write-ahead log was damaged, and was set aside.
+    LOG_DAMAGED = 309 Error "log-damaged";
     /// A leader refuses new configurations and jobs, as the log's files would exceed their bound.
     ROOM_SHORT = 310 Error "room-short";
     /// A leader takes new configurations and jobs again.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,12 +7,14 @@
 pub(crate) mod address;
 pub(crate) mod agent;
 pub(crate) mod control;
+pub(crate) mod disk;
 pub(crate) mod entry;
 pub(crate) mod entry_links;
 pub(crate) mod fragments;
 pub(crate) mod frames;
 pub(crate) mod link;
 pub(crate) mod links;
+pub(crate) mod listen;
 pub(crate) mod outgoing;
 pub(crate) mod output;
 pub(crate) mod pauses;
--- a/src/store/founding.rs
+++ b/src/store/founding.rs
@@ -27,25 +27,29 @@
 impl FounderMark {
     /// Returns true if this instance may found the group: `first_start` says so, which is kept in
     /// the data directory from then on, or an earlier start with this disk and these seeds did.
-    ///
-    /// # Errors
-    ///
-    /// The mark cannot be written, or there is one that cannot be read.
-    pub fn may_found(&self, data: &Path, first_start: bool) -> io::Result<bool> {
+    #[must_use]
+    pub fn may_found(&self, data: &Path, first_start: bool) -> bool {
         if first_start {
-            self.write(data)?;
-            return Ok(true);
+            if let Err(error) = self.write(data) {
+                log::warn!("cannot keep that this instance may found the group: {error}");
+            }
+            return true;
         }
         let bytes = match fs::read(data.join(MARK_FILE)) {
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(false),
-            other => other?,
+            Ok(bytes) => bytes,
+            Err(error) => {
+                if error.kind() != io::ErrorKind::NotFound {
+                    log::warn!("cannot read whether this instance may found the group: {error}");
+                }
+                return false;
+            }
         };
         match serde_json::from_slice::<Self>(&bytes) {
-            Ok(kept) => Ok(kept == *self),
+            Ok(kept) => kept == *self,
             Err(error) => {
                 // A crash interrupted the first start.
                 log::warn!("the founder mark cannot be decoded, so none is assumed: {error}");
-                Ok(false)
+                false
             }
         }
     }
--- a/src/store/wal.rs
+++ b/src/store/wal.rs
@@ -15,6 +15,14 @@
     /// The file cannot be read.
     fn read(&mut self) -> std::io::Result<Vec<u8>>;
 
+    /// Makes the current file, its name and the absence of others durable. What an earlier process
+    /// wrote and did not sync reads the same as what it synced.
+    ///
+    /// # Errors
+    ///
+    /// The file may not be durable.
+    fn sync(&mut self) -> std::io::Result<()>;
+
     /// Truncates the current file to `len` bytes, durably.
     ///
     /// # Errors
@@ -89,6 +97,7 @@
     ///
     /// The storage fails, or the log is damaged or has no disk identity.
     pub fn open(mut storage: S, new_disk: DiskId) -> Result<(Self, Durable), WalError> {
+        storage.sync().context(IoSnafu { operation: "sync" })?;
         let bytes = storage.read().context(IoSnafu { operation: "read" })?;
         let frames = frame::decode_records(&bytes).context(DamageSnafu)?;
         if frames.valid_len < bytes.len() {
@@ -100,8 +109,7 @@
         let mut records = frames.records;
         let disk = match records.first() {
             None => {
-                let mut buf = Vec::new();
-                frame::encode_record(&Record::Disk(new_disk), &mut buf).context(DamageSnafu)?;
+                let buf = encode_write(&[Record::Disk(new_disk)])?;
                 storage.replace(&buf).context(IoSnafu {
                     operation: "create",
                 })?;
@@ -131,11 +139,11 @@
     pub fn write(&mut self, records: &[Record]) -> Result<(), WalError> {
         let is_snapshot = |r: &Record| matches!(r, Record::Snapshot(_));
         match (records.iter().rposition(is_snapshot), self.failed) {
-            (None, None) => self.append(&encode_all(records)?),
+            (None, None) => self.append(&encode_write(records)?),
             // Whichever file is the current one, it is replaced.
             (Some(at), None | Some(FailedWrite::Replace)) => {
-                let mut buf = encode_all(&[Record::Disk(self.disk)])?;
-                buf.extend(encode_all(&records[at..])?);
+                let mut buf = encode_write(&[Record::Disk(self.disk)])?;
+                buf.extend(encode_write(&records[at..])?);
                 self.replace(&buf)
             }
             (_, Some(_)) => FailedSnafu.fail(),
@@ -186,10 +194,6 @@
     }
 }
 
-fn encode_all(records: &[Record]) -> Result<Vec<u8>, WalError> {
-    let mut buf = Vec::new();
-    for record in records {
-        frame::encode_record(record, &mut buf).context(DamageSnafu)?;
-    }
-    Ok(buf)
+fn encode_write(records: &[Record]) -> Result<Vec<u8>, WalError> {
+    frame::encode_write(records).context(DamageSnafu)
 }
