--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -1,11 +1,11 @@
-//! An operator's HTTP client. Its connections stay open until the process at the other end is gone.
+//! An HTTP client of operators and callers. Its connections stay open until the process at the other end is gone.
 
-use std::net::SocketAddrV4;
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{LOCATION, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HOST, LOCATION, RETRY_AFTER};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -33,7 +33,10 @@
     Unclear(String),
 }
 
-/// An operator's client.
+/// Request header: how long the caller waits for the response, in milliseconds.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// A client.
 #[derive(Debug, Clone)]
 pub(crate) struct Caller {
     http: Client<HttpConnector, Full<Bytes>>,
@@ -41,7 +44,17 @@
 
 impl Caller {
     pub(crate) fn new() -> Self {
+        Self::connecting_from(None)
+    }
+
+    /// A client that connects from an address.
+    pub(crate) fn at(ip: Ipv4Addr) -> Self {
+        Self::connecting_from(Some(IpAddr::V4(ip)))
+    }
+
+    fn connecting_from(ip: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
+        connector.set_local_address(ip);
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let mut builder = Client::builder(TokioExecutor::new());
@@ -57,6 +70,36 @@
         self.call(Method::GET, to, Bytes::new()).await
     }
 
+    /// Sends one request, and returns the status and the body of its response.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        to: SocketAddrV4,
+        host: &str,
+        path: &str,
+        wait: Duration,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), String> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"))
+            .header(HOST, host)
+            .header(CONTENT_TYPE, "application/json")
+            .header(DEADLINE_HEADER, wait.as_millis().to_string())
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        let exchange = async {
+            let response = self.http.request(request).await;
+            let response = response.map_err(|error| format!("{error:?}"))?;
+            let status = response.status();
+            let whole = response.into_body().collect().await;
+            Ok((status, whole.map_err(|e| format!("body: {e}"))?.to_bytes()))
+        };
+        timeout(wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err("no response in time".to_owned()))
+    }
+
     async fn call(&self, method: Method, to: SocketAddrV4, body: Bytes) -> Answer {
         match timeout(CALL_TIMEOUT, self.follow(method, to, body)).await {
             Ok(Ok(answer)) => answer,
--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 xflags::xflags! {
-    /// Plays seeded faults against control groups of real processes.
+    /// Plays seeded faults against control groups, or whole deployments, of real processes.
     cmd soak {
         /// Number of seeds; default 50.
         optional --seeds count: u64
@@ -21,13 +21,26 @@
         optional --program path: PathBuf
         /// Directory for the logs of failed seeds; default: soak-logs in the temporary directory.
         optional --logs path: PathBuf
-        /// Most routes in a configuration; default 2800, about 0.7 MB.
+        /// Most routes in a configuration; default 2800, about 0.7 MB, or 100 in a deployment.
         optional --routes count: u32
-        /// Time in which a group must recover, in seconds; default 12.
+        /// Time in which a group must recover, in seconds; default 12, or 15 in a deployment.
         optional --recovery-s seconds: u64
-        /// Time that a new or empty instance gets to catch up, in seconds; default 4.
+        /// Time that a new or empty instance gets to catch up, in seconds; default 4, or 6 in a
+        /// deployment.
         optional --catch-up-s seconds: u64
         /// Bound on the files of an instance, in MB; default: unchecked.
         optional --file-bound-mb bytes: u64
+        /// Plays whole deployments; the flags below belong to them.
+        optional --deployment
+        /// Number of control instances; default 5.
+        optional --controls count: u8
+        /// Number of entries; default 10.
+        optional --entries count: u8
+        /// Number of agents, each with a backend server; default 58.
+        optional --agents count: u8
+        /// Number of jobs a second; default 90.
+        optional --per-second count: u32
+        /// Plays no faults.
+        optional --no-faults
     }
 }
--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,358 @@
+//! One run of a whole deployment: processes of all roles, backend servers, callers and operators.
+
+mod backend;
+mod callers;
+mod faults;
+mod judge;
+mod layout;
+mod operate;
+mod plan;
+mod server;
+
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use snafu::ResultExt;
+use tempfile::TempDir;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::client::Caller;
+use crate::document::Documents;
+use crate::fleet::callers::{Rotation, Tally};
+use crate::fleet::judge::Judge;
+use crate::fleet::layout::{Class, Host, Layout};
+use crate::fleet::server::Server;
+use crate::ledger::Ledger;
+use crate::process::{LOG, Process, SETTINGS};
+use crate::run::{IoSnafu, SoakError};
+use crate::stalls::Stalls;
+
+pub use layout::Sizes;
+
+/// Number of operators that send at the same time.
+const OPERATORS: u64 = 2;
+/// Longest time in which the agents hear their backend servers for the first time.
+const SETTLE: Duration = Duration::from_millis(2_500);
+const POLL: Duration = Duration::from_millis(100);
+/// Time over which the callers' success is counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// What a run does.
+#[derive(Debug, Clone)]
+pub struct FleetOptions {
+    /// The program `fulmardrift-platform`.
+    pub program: PathBuf,
+    /// Number of hosts of each class.
+    pub sizes: Sizes,
+    /// Time in which faults begin.
+    pub length: Duration,
+    /// True if the schedule has faults.
+    pub faults: bool,
+    /// Number of jobs a second.
+    pub per_second: u32,
+    /// Smallest and largest number of routes in a configuration, besides those for the jobs.
+    pub routes: (u32, u32),
+    /// Time after which a change is acknowledged while the control group is whole.
+    pub ack: Duration,
+    /// Time after which the entries serve by an acknowledged configuration.
+    pub apply: Duration,
+    /// Time after which an undisturbed process counts as in touch with the others.
+    pub contact: Duration,
+    /// Time after the start, or the last fault, in which all serve.
+    pub recovery: Duration,
+    /// Time after which a disk counts as back, and the next may be lost.
+    pub catch_up: Duration,
+    /// Directory for the logs of runs with findings.
+    pub logs: Option<PathBuf>,
+}
+
+/// What a run did and found.
+#[derive(Debug)]
+pub struct FleetReport {
+    /// Seed of the schedule, the configurations and the jobs.
+    pub seed: u64,
+    /// Number of transient jobs that were sent.
+    pub sent: usize,
+    /// Number of those that were answered with success.
+    pub served: usize,
+    /// Number of runs that backend servers began.
+    pub starts: usize,
+    /// Number of acknowledged changes.
+    pub acknowledged: usize,
+    /// Number of times at which the machine stood still.
+    pub stalls: usize,
+    /// Time from the last fault until all were up and the callers were served.
+    pub recovered_in: Option<Duration>,
+    /// Violations; empty in a run that held.
+    pub findings: Vec<String>,
+    /// What was done, one line a step, with seconds from the start.
+    pub trace: String,
+    /// Directory with logs and trace, if there are findings.
+    pub logs: Option<PathBuf>,
+}
+
+/// What the tasks of a run share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    options: FleetOptions,
+    seed: u64,
+    layout: Layout,
+    directory: TempDir,
+    /// Processes by host, sorted.
+    processes: Vec<(Host, tokio::sync::Mutex<Process>)>,
+    /// Since when each process is undisturbed, sorted by host.
+    calm: Mutex<Vec<(Host, Option<Instant>)>>,
+    servers: Vec<Arc<Server>>,
+    judge: Arc<Judge>,
+    documents: Documents,
+    ledger: Mutex<Ledger>,
+    caller: Caller,
+    tally: Tally,
+    rotations: Vec<Rotation>,
+    stalls: Stalls,
+}
+
+/// Runs one seed on a whole deployment.
+///
+/// # Errors
+///
+/// A process cannot be started or a file cannot be written.
+pub async fn run_fleet(options: FleetOptions, seed: u64) -> Result<FleetReport, SoakError> {
+    let shared = Arc::new(Shared::new(options, seed).context(IoSnafu { what: "set up" })?);
+    let mut backends = JoinSet::new();
+    for server in &shared.servers {
+        server.spawn(&mut backends);
+    }
+    for host in shared.layout.sizes.processes() {
+        let started = shared.start(host, true).await;
+        started.context(IoSnafu { what: "start" })?;
+    }
+    let mut tasks = JoinSet::new();
+    tasks.spawn(watch_machine(Arc::clone(&shared)));
+    tasks.spawn(Arc::clone(&shared).watch());
+    for number in 0..shared.rotations.len() {
+        tasks.spawn(callers::check(Arc::clone(&shared), number));
+    }
+    let recovered_in = shared.play_all(&mut tasks).await;
+    tasks.shutdown().await;
+    shared.find_ended();
+    for (_, process) in &shared.processes {
+        let killed = process.lock().await.kill().await;
+        killed.context(IoSnafu { what: "stop" })?;
+    }
+    for server in &shared.servers {
+        server.settle();
+    }
+    backends.shutdown().await;
+    shared.report(recovered_in)
+}
+
+impl Shared {
+    fn new(options: FleetOptions, seed: u64) -> io::Result<Self> {
+        let layout = Layout::reserve(options.sizes)?;
+        let documents = Documents {
+            seed,
+            routes: options.routes,
+            queues: true,
+        };
+        let judge = Arc::new(Judge::new());
+        let servers = (0..options.sizes.agents)
+            .map(|number| Server::new(&layout, number, seed, Arc::clone(&judge)))
+            .collect();
+        let hosts: Vec<Host> = options.sizes.processes().collect();
+        let callers = Host::new(Class::Caller, 0);
+        Ok(Self {
+            seed,
+            directory: TempDir::with_prefix("soak-")?,
+            processes: hosts
+                .iter()
+                .map(|host| (*host, tokio::sync::Mutex::default()))
+                .collect(),
+            calm: Mutex::new(hosts.iter().map(|host| (*host, None)).collect()),
+            servers,
+            judge,
+            documents,
+            ledger: Mutex::new(Ledger::new(documents)),
+            caller: Caller::at(layout.bind_ip(callers)),
+            tally: Tally::default(),
+            rotations: options
+                .sizes
+                .hosts(Class::Entry)
+                .map(|_| Rotation::default())
+                .collect(),
+            stalls: Stalls::new(),
+            layout,
+            options,
+        })
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn calm(&self) -> MutexGuard<'_, Vec<(Host, Option<Instant>)>> {
+        self.calm.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note(&self, line: &str) {
+        self.ledger().note(line);
+    }
+
+    fn find(&self, finding: String) {
+        self.ledger().find(finding);
+    }
+
+    /// Starts callers and operators, plays the faults, and waits for the recovery.
+    async fn play_all(self: &Arc<Self>, tasks: &mut JoinSet<()>) -> Option<Duration> {
+        let began = Instant::now();
+        let mut rng = Pcg64::seed_from_u64(self.seed);
+        let version = self.ledger().next_version(1);
+        let founded = self.change(version, &mut rng);
+        if tokio::time::timeout(2 * self.options.recovery, founded)
+            .await
+            .is_err()
+        {
+            self.find("FAULT: no configuration acknowledged after the start".to_owned());
+            return None;
+        }
+        if !self.wait_until_up(began).await {
+            return None;
+        }
+        self.note("all up");
+        sleep(SETTLE).await;
+        tasks.spawn(callers::call(Arc::clone(self)));
+        tasks.spawn(operate::read(Arc::clone(self)));
+        for number in 0..OPERATORS {
+            tasks.spawn(operate::operate(Arc::clone(self), number));
+        }
+        if self.options.faults {
+            let options = &self.options;
+            let steps = plan::plan(self.seed, options.length, options.sizes, options.catch_up);
+            self.play(steps).await;
+        } else {
+            sleep(self.options.length).await;
+        }
+        let healed = Instant::now();
+        self.note("all healed");
+        if !self.wait_until_up(healed).await {
+            return None;
+        }
+        let served = self.wait_until_served(healed).await;
+        served.then(|| healed.elapsed())
+    }
+
+    /// Waits until all processes are up, all entries are ready and a configuration can be read.
+    async fn wait_until_up(&self, since: Instant) -> bool {
+        loop {
+            let mut missing: Vec<String> = Vec::new();
+            for (host, process) in &self.processes {
+                if !process.lock().await.is_up() {
+                    missing.push(host.to_string());
+                }
+            }
+            for (host, rotation) in self.layout.sizes.hosts(Class::Entry).zip(&self.rotations) {
+                if !rotation.is_ready() {
+                    missing.push(format!("{host}'s readiness"));
+                }
+            }
+            let mut read = false;
+            for host in self.layout.sizes.hosts(Class::Control) {
+                read = read || self.read_back(host).await;
+            }
+            if !read {
+                missing.push("a configuration".to_owned());
+            }
+            if missing.is_empty() {
+                return true;
+            }
+            if self.stalls.undisturbed_since(since).elapsed() > self.options.recovery {
+                let missing = missing.join(", ");
+                self.find(format!(
+                    "FAULT: not up {:.1} s after the start or the last fault: {missing}",
+                    since.elapsed().as_secs_f64()
+                ));
+                return false;
+            }
+            sleep(POLL).await;
+        }
+    }
+
+    /// Waits until four fifths of the jobs that end in a while are answered with success.
+    async fn wait_until_served(&self, since: Instant) -> bool {
+        let count = || {
+            let served = self.tally.served.load(Ordering::Relaxed);
+            (self.tally.finished.load(Ordering::Relaxed), served)
+        };
+        loop {
+            let (finished, served) = count();
+            sleep(WINDOW).await;
+            let (finished_after, served_after) = count();
+            let (finished, served) = (finished_after - finished, served_after - served);
+            self.note(&format!("{served} of {finished} jobs served"));
+            if finished > 0 && served * 5 >= finished * 4 {
+                return true;
+            }
+            if self.stalls.undisturbed_since(since).elapsed() > self.options.recovery {
+                self.find(format!(
+                    "SHORT: {served} of {finished} jobs served, all healed for {:.1} s",
+                    since.elapsed().as_secs_f64()
+                ));
+                return false;
+            }
+        }
+    }
+
+    fn report(&self, recovered_in: Option<Duration>) -> Result<FleetReport, SoakError> {
+        for doubled in self.judge.doubled() {
+            self.find(doubled);
+        }
+        let ledger = self.ledger();
+        let mut logs = None;
+        if let Some(directory) = &self.options.logs
+            && !ledger.findings().is_empty()
+        {
+            let target = directory.join(format!("fleet-{}", self.seed));
+            self.keep_logs(&target, ledger.trace())
+                .context(IoSnafu { what: "logs" })?;
+            logs = Some(target);
+        }
+        Ok(FleetReport {
+            seed: self.seed,
+            sent: self.tally.sent.load(Ordering::Relaxed),
+            served: self.tally.all_served.load(Ordering::Relaxed),
+            starts: self.judge.starts(),
+            acknowledged: ledger.acknowledgements(),
+            stalls: self.stalls.count(),
+            recovered_in,
+            findings: ledger.findings().to_vec(),
+            trace: ledger.trace().to_owned(),
+            logs,
+        })
+    }
+
+    fn keep_logs(&self, target: &std::path::Path, trace: &str) -> io::Result<()> {
+        std::fs::create_dir_all(target)?;
+        for (host, _) in &self.processes {
+            for file in [LOG, SETTINGS] {
+                let from = self.home(*host).join(file);
+                std::fs::copy(from, target.join(format!("{host}.{file}")))?;
+            }
+        }
+        std::fs::write(target.join("trace"), trace)
+    }
+}
+
+async fn watch_machine(shared: Arc<Shared>) {
+    let note = |took: Duration| {
+        let millis = took.as_millis();
+        shared.note(&format!("the machine stood still for {millis} ms"));
+    };
+    let probe = shared.directory.path().join("probe");
+    shared.stalls.watch(probe, note).await;
+}
--- /dev/null
+++ b/soak/src/fleet/faults.rs
@@ -0,0 +1,182 @@
+//! Carries out the schedule, and watches the processes.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::fleet::Shared;
+use crate::fleet::layout::{Class, GRACE_S, Host};
+use crate::fleet::plan::Step;
+use crate::process::LOG;
+
+/// Pause between two looks at the processes.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Number of lines of a log that a finding quotes.
+const QUOTED: usize = 4;
+
+impl Shared {
+    /// Carries out a schedule.
+    pub(crate) async fn play(self: &Arc<Self>, steps: Vec<(u64, Step)>) {
+        let began = Instant::now();
+        for (at, step) in steps {
+            sleep_until(began + Duration::from_millis(at)).await;
+            self.note(&describe(step));
+            if let Err(error) = self.carry_out(step).await {
+                self.note(&format!("{}: {error}", describe(step)));
+            }
+        }
+        // A planned stop may still take its grace period.
+        for (host, process) in &self.processes {
+            if !process.lock().await.is_up() {
+                self.note(&format!("{host} is not up after the last fault"));
+            }
+        }
+    }
+
+    async fn carry_out(self: &Arc<Self>, step: Step) -> io::Result<()> {
+        match step {
+            Step::Kill(host) => {
+                self.disturb(host, true);
+                self.process(host)?.lock().await.kill().await
+            }
+            Step::Start(host) => self.start(host, false).await,
+            Step::Restart(host) => {
+                self.disturb(host, true);
+                tokio::spawn(Arc::clone(self).restart(host));
+                Ok(())
+            }
+            Step::Freeze(host) => {
+                self.disturb(host, true);
+                self.process(host)?.lock().await.freeze(true)
+            }
+            Step::Thaw(host) => {
+                let thawed = self.process(host)?.lock().await.freeze(false);
+                self.disturb(host, false);
+                thawed
+            }
+            Step::Wipe(host) => match fs::remove_dir_all(self.home(host).join("data")) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+                _ => Ok(()),
+            },
+            Step::Backend(number, mode) => {
+                self.servers[usize::from(number)].set(mode);
+                Ok(())
+            }
+        }
+    }
+
+    async fn restart(self: Arc<Self>, host: Host) {
+        let stopped = async {
+            let mut process = self.process(host)?.lock().await;
+            process.stop(Duration::from_secs(GRACE_S)).await?;
+            process.start(
+                &self.options.program,
+                &self.home(host),
+                &self.layout.settings(host, &self.home(host), false),
+            )
+        };
+        if let Err(error) = stopped.await {
+            self.find(format!("FAULT: restart of {host}: {error}"));
+        }
+        self.disturb(host, false);
+    }
+
+    pub(crate) async fn start(&self, host: Host, first: bool) -> io::Result<()> {
+        let home = self.home(host);
+        let settings = self.layout.settings(host, &home, first);
+        let mut process = self.process(host)?.lock().await;
+        let started = process.start(&self.options.program, &home, &settings);
+        self.disturb(host, false);
+        started
+    }
+
+    fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<crate::process::Process>> {
+        let found = self.processes.binary_search_by_key(&host, |(h, _)| *h);
+        let at = found.map_err(|_| io::Error::from(io::ErrorKind::NotFound))?;
+        Ok(&self.processes[at].1)
+    }
+
+    pub(crate) fn home(&self, host: Host) -> PathBuf {
+        self.directory.path().join(host.to_string())
+    }
+
+    /// Notes that a host is disturbed from now on, or no longer.
+    fn disturb(&self, host: Host, disturbed: bool) {
+        let mut calm = self.calm();
+        if let Ok(at) = calm.binary_search_by_key(&host, |(h, _)| *h) {
+            calm[at].1 = (!disturbed).then(Instant::now);
+        }
+    }
+
+    /// Since when a host is undisturbed.
+    pub(crate) fn calm_since(&self, host: Host) -> Option<Instant> {
+        let calm = self.calm();
+        let found = calm.binary_search_by_key(&host, |(h, _)| *h);
+        found.ok().and_then(|at| calm[at].1)
+    }
+
+    /// Since when the control group is undisturbed.
+    pub(crate) fn group_calm_since(&self) -> Option<Instant> {
+        let hosts = self.layout.sizes.hosts(Class::Control);
+        let since = hosts.map(|host| self.calm_since(host));
+        let since = since.collect::<Option<Vec<_>>>()?;
+        let last = since.into_iter().max()?;
+        Some(self.stalls.undisturbed_since(last))
+    }
+
+    /// Finds processes that end by themselves, and starts them again.
+    pub(crate) async fn watch(self: Arc<Self>) {
+        loop {
+            sleep(WATCH_PAUSE).await;
+            for host in self.find_ended() {
+                if let Err(error) = self.start(host, false).await {
+                    self.find(format!("FAULT: start of {host}: {error}"));
+                }
+            }
+        }
+    }
+
+    /// The processes that ended by themselves since the last look; each is a finding.
+    pub(crate) fn find_ended(&self) -> Vec<Host> {
+        let mut ended = Vec::new();
+        for (host, process) in &self.processes {
+            // A process that is being stopped holds its lock.
+            let Ok(mut process) = process.try_lock() else {
+                continue;
+            };
+            match process.ended() {
+                Ok(None) => {}
+                Ok(Some(status)) => {
+                    let log = last_lines(&self.home(*host).join(LOG));
+                    self.find(format!("FAULT: {host} ended by itself: {status}: {log}"));
+                    ended.push(*host);
+                }
+                Err(error) => self.note(&format!("{host}: {error}")),
+            }
+        }
+        ended
+    }
+}
+
+fn last_lines(log: &Path) -> String {
+    let text = fs::read(log).unwrap_or_default();
+    let text = String::from_utf8_lossy(&text);
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(QUOTED)..].join(" | ")
+}
+
+fn describe(step: Step) -> String {
+    match step {
+        Step::Kill(host) => format!("kill {host}"),
+        Step::Start(host) => format!("start {host}"),
+        Step::Restart(host) => format!("stop and start {host}"),
+        Step::Freeze(host) => format!("freeze {host}"),
+        Step::Thaw(host) => format!("thaw {host}"),
+        Step::Wipe(host) => format!("lose the disk of {host}"),
+        Step::Backend(number, mode) => format!("backend-{number} {mode:?}"),
+    }
+}
--- /dev/null
+++ b/soak/src/fleet/layout.rs
@@ -0,0 +1,216 @@
+//! Addresses, names and settings files of the hosts of a deployment.
+
+use std::fmt;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::Path;
+
+use crate::group::reserve_network;
+
+/// Port at which an agent serves its backend server, and a control instance its operators.
+const CONTROL_PORT: u16 = 8166;
+const CALLER_PORT: u16 = 8161;
+const READINESS_PORT: u16 = 8167;
+const BACKEND_PORT: u16 = 8080;
+/// First port of the sessions between processes.
+const SESSION_PORT: u16 = 7720;
+/// Number of control instances that the settings name.
+const SEEDS: u8 = 3;
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+/// Number of workers in a rack.
+const RACK: u8 = 8;
+/// A process is killed this long after SIGTERM, in seconds.
+pub(crate) const GRACE_S: u64 = 6;
+
+/// Kind of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Class {
+    Control,
+    Entry,
+    Agent,
+    Backend,
+    /// All callers and operators.
+    Caller,
+}
+
+/// A host, by its class and its number from 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Host {
+    pub(crate) class: Class,
+    pub(crate) number: u8,
+}
+
+impl Host {
+    pub(crate) fn new(class: Class, number: u8) -> Self {
+        Self { class, number }
+    }
+
+    /// Index of its zone, and the zone's name.
+    pub(crate) fn zone(self) -> &'static str {
+        ZONES[usize::from(self.number) % ZONES.len()]
+    }
+
+    /// Labels of a worker: its kind and its rack.
+    pub(crate) fn labels(self) -> [String; 2] {
+        ["a".to_owned(), format!("r1-{}", self.number / RACK)]
+    }
+}
+
+impl fmt::Display for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let class = match self.class {
+            Class::Control => "control",
+            Class::Entry => "entry",
+            Class::Agent => "agent",
+            Class::Backend => "backend",
+            Class::Caller => "caller",
+        };
+        write!(f, "{class}-{}", self.number)
+    }
+}
+
+/// Number of hosts of each class. A backend server runs beside each agent.
+#[derive(Debug, Clone, Copy)]
+pub struct Sizes {
+    /// Control instances, at most 20.
+    pub controls: u8,
+    /// Entries, at most 20.
+    pub entries: u8,
+    /// Agents, at most 100.
+    pub agents: u8,
+}
+
+impl Sizes {
+    pub(crate) fn hosts(self, class: Class) -> impl Iterator<Item = Host> {
+        let count = match class {
+            Class::Control => self.controls,
+            Class::Entry => self.entries,
+            Class::Agent | Class::Backend => self.agents,
+            Class::Caller => 1,
+        };
+        (0..count).map(move |number| Host::new(class, number))
+    }
+
+    /// All hosts with a process of their own.
+    pub(crate) fn processes(self) -> impl Iterator<Item = Host> {
+        let classes = [Class::Control, Class::Entry, Class::Agent];
+        classes.into_iter().flat_map(move |class| self.hosts(class))
+    }
+}
+
+/// Where the hosts of a run are.
+#[derive(Debug)]
+pub(crate) struct Layout {
+    pub(crate) sizes: Sizes,
+    network: [u8; 2],
+    // Holds the addresses of the run as long as it lasts.
+    _guard: TcpListener,
+}
+
+impl Layout {
+    pub(crate) fn reserve(sizes: Sizes) -> io::Result<Self> {
+        let (network, guard) = reserve_network()?;
+        Ok(Self {
+            sizes,
+            network,
+            _guard: guard,
+        })
+    }
+
+    /// The address by which others know a host.
+    pub(crate) fn ip(&self, host: Host) -> Ipv4Addr {
+        let first = match host.class {
+            Class::Control => 1,
+            Class::Entry => 21,
+            Class::Agent => 41,
+            Class::Backend => 141,
+            Class::Caller => 250,
+        };
+        Ipv4Addr::new(127, self.network[0], self.network[1], first + host.number)
+    }
+
+    /// The address at which a host listens and from which it connects.
+    pub(crate) fn bind_ip(&self, host: Host) -> Ipv4Addr {
+        self.ip(host)
+    }
+
+    /// Where an agent serves its backend server, or a control instance its operators.
+    pub(crate) fn control(&self, host: Host) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(host), CONTROL_PORT)
+    }
+
+    pub(crate) fn callers(&self, host: Host) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(host), CALLER_PORT)
+    }
+
+    pub(crate) fn readiness(&self, host: Host) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(host), READINESS_PORT)
+    }
+
+    /// Where the backend server of a number is known to be.
+    pub(crate) fn backend(&self, number: u8) -> SocketAddrV4 {
+        let host = Host::new(Class::Backend, number);
+        SocketAddrV4::new(self.ip(host), BACKEND_PORT)
+    }
+
+    /// Where the backend server of a number listens.
+    pub(crate) fn backend_bind(&self, number: u8) -> SocketAddrV4 {
+        let host = Host::new(Class::Backend, number);
+        SocketAddrV4::new(self.bind_ip(host), BACKEND_PORT)
+    }
+
+    /// The settings file of a process.
+    pub(crate) fn settings(&self, host: Host, home: &Path, first: bool) -> String {
+        let seeds: Vec<String> = self
+            .sizes
+            .hosts(Class::Control)
+            .take(usize::from(SEEDS))
+            .map(|seed| self.control(seed).to_string())
+            .collect();
+        let (serves, own, listen) = match host.class {
+            Class::Control => (
+                "control_plane",
+                format!("data_dir = \"{}\"\n", home.join("data").display()),
+                format!("control = \"{}\"\n", self.control(host)),
+            ),
+            Class::Entry => (
+                "frontend",
+                String::new(),
+                format!(
+                    "frontend = \"{}\"\nreadiness = \"{}\"\n",
+                    self.callers(host),
+                    self.readiness(host)
+                ),
+            ),
+            Class::Agent | Class::Backend | Class::Caller => (
+                "side",
+                format!("app = \"{}\"\n", self.backend(host.number)),
+                format!("control = \"{}\"\n", self.control(host)),
+            ),
+        };
+        let machines = (self.sizes.controls - 1) / 2;
+        format!(
+            "node_name = \"{host}\"\n\
+             serves = [\"{serves}\"]\n\
+             ip = \"{ip}\"\n\
+             zone = \"{zone}\"\n\
+             internal_ports = [{SESSION_PORT}, {last}]\n\
+             seeds = {seeds:?}\n\
+             bootstrap = {first}\n\
+             {own}\
+             [listen_addresses]\n\
+             {listen}\
+             [limits]\n\
+             disk_mb = 192\n\
+             [fault_tolerance]\n\
+             machines = {machines}\n\
+             [bounds]\n\
+             hold_max_ms = 1000\n\
+             status_s = 120\n\
+             grace_s = {GRACE_S}\n",
+            ip = self.ip(host),
+            zone = host.zone(),
+            last = SESSION_PORT + 15,
+        )
+    }
+}
--- a/soak/src/group.rs
+++ b/soak/src/group.rs
@@ -1,17 +1,16 @@
 //! The processes of a control group.
 
-use std::fs::{self, File};
+use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use tempfile::TempDir;
-use tokio::process::{Child, Command};
 
 use crate::Options;
 use crate::plan::SLOTS;
+use crate::process::{LOG, Process, SETTINGS};
 
 /// Port at which instances serve operators.
 const CONTROL_PORT: u16 = 8166;
@@ -19,16 +18,12 @@
 const SESSION_PORT: u16 = 7720;
 /// Last part of the address that reserves a run's addresses.
 const GUARD_HOST: u8 = 254;
-/// Environment variable with the path of the settings file.
-const FILE_VARIABLE: &str = "FULMARDRIFT_NODE_FILE";
-
 /// One instance and, while it runs, its process.
 #[derive(Debug)]
 pub(crate) struct Instance {
     /// Last part of its address.
     host: u8,
-    child: Option<Child>,
-    frozen: bool,
+    process: Process,
 }
 
 /// The instances of a group, at addresses of their own.
@@ -52,8 +47,7 @@
         let (network, guard) = reserve_network()?;
         let first = (0..SLOTS).zip(1..).map(|(_, host)| Instance {
             host,
-            child: None,
-            frozen: false,
+            process: Process::default(),
         });
         let slots: Vec<Instance> = first.collect();
         let mut group = Self {
@@ -103,31 +97,16 @@
 
     /// True when all instances run.
     pub(crate) fn all_up(&self) -> bool {
-        let up = |i: &Instance| i.child.is_some() && !i.frozen;
-        self.slots.iter().all(up)
+        self.slots.iter().all(|i| i.process.is_up())
     }
 
     /// Starts the process of a slot with what is on its disk.
     pub(crate) fn start(&mut self, slot: usize, first: bool) -> io::Result<()> {
         let host = self.slots[slot].host;
         let home = self.home(host);
-        fs::create_dir_all(&home)?;
-        let settings = home.join("settings.toml");
-        fs::write(&settings, self.settings(host, &home, first))?;
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(home.join("log"))?;
-        let child = Command::new(&self.program)
-            .env_clear()
-            .env(FILE_VARIABLE, &settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .kill_on_drop(true)
-            .spawn()?;
-        self.slots[slot].child = Some(child);
-        Ok(())
+        let settings = self.settings(host, &home, first);
+        let process = &mut self.slots[slot].process;
+        process.start(&self.program, &home, &settings)
     }
 
     fn settings(&self, host: u8, home: &Path, first: bool) -> String {
@@ -167,18 +146,16 @@
 
     /// Kills the process of a slot.
     pub(crate) async fn kill(&mut self, slot: usize) -> io::Result<()> {
-        self.slots[slot].kill().await
+        self.slots[slot].process.kill().await
     }
 
     /// Kills the processes of all slots, without a pause between them.
     pub(crate) async fn kill_all(&mut self) -> io::Result<()> {
         for instance in &mut self.slots {
-            if let Some(child) = &mut instance.child {
-                child.start_kill()?;
-            }
+            instance.process.start_kill()?;
         }
         for instance in &mut self.slots {
-            instance.kill().await?;
+            instance.process.kill().await?;
         }
         Ok(())
     }
@@ -195,12 +172,11 @@
     pub(crate) fn replace(&mut self, slot: usize) -> io::Result<()> {
         let successor = Instance {
             host: self.next_host,
-            child: None,
-            frozen: false,
+            process: Process::default(),
         };
         self.next_host += 1;
         let former = std::mem::replace(&mut self.slots[slot], successor);
-        if former.child.is_some() {
+        if former.process.exists() {
             self.leaving.push(former);
         }
         self.start(slot, false)
@@ -208,37 +184,31 @@
 
     /// Sends SIGTERM to the former instances.
     pub(crate) fn dismiss(&mut self) -> io::Result<()> {
-        self.leaving.iter().try_for_each(|i| i.signal(Signal::TERM))
+        let mut leaving = self.leaving.iter();
+        leaving.try_for_each(|i| i.process.signal(Signal::TERM))
     }
 
     /// Kills the former instances that are still there, and returns their number.
     pub(crate) async fn end_leaving(&mut self) -> io::Result<usize> {
         let mut killed = 0;
         for mut instance in std::mem::take(&mut self.leaving) {
-            let child = instance.child.as_mut().map(Child::try_wait).transpose()?;
-            if child.flatten().is_none() {
+            if instance.process.ended()?.is_none() {
                 killed += 1;
-                instance.kill().await?;
+                instance.process.kill().await?;
             }
         }
         Ok(killed)
     }
 
     pub(crate) fn freeze(&mut self, slot: usize, frozen: bool) -> io::Result<()> {
-        let instance = &mut self.slots[slot];
-        instance.frozen = frozen;
-        instance.signal(if frozen { Signal::STOP } else { Signal::CONT })
+        self.slots[slot].process.freeze(frozen)
     }
 
     /// Processes that ended without being killed, and how.
     pub(crate) fn ended(&mut self) -> io::Result<Vec<(usize, String)>> {
         let mut ended = Vec::new();
         for (slot, instance) in self.slots.iter_mut().enumerate() {
-            let Some(child) = &mut instance.child else {
-                continue;
-            };
-            if let Some(status) = child.try_wait()? {
-                instance.child = None;
+            if let Some(status) = instance.process.ended()? {
                 ended.push((slot, format!("core-{}: {status}", instance.host)));
             }
         }
@@ -254,7 +224,7 @@
     /// Copies settings and logs of all instances to `target`.
     pub(crate) fn keep_logs(&self, target: &Path) -> io::Result<()> {
         for host in 1..self.next_host {
-            for file in ["log", "settings.toml"] {
+            for file in [LOG, SETTINGS] {
                 let from = self.home(host).join(file);
                 if from.exists() {
                     fs::copy(from, target.join(format!("core-{host}.{file}")))?;
@@ -265,25 +235,6 @@
     }
 }
 
-impl Instance {
-    async fn kill(&mut self) -> io::Result<()> {
-        self.frozen = false;
-        match self.child.take() {
-            Some(mut child) => child.kill().await,
-            None => Ok(()),
-        }
-    }
-
-    fn signal(&self, signal: Signal) -> io::Result<()> {
-        let id = self.child.as_ref().and_then(Child::id);
-        let id = id.and_then(|id| Pid::from_raw(id.cast_signed()));
-        match id {
-            Some(id) => Ok(kill_process(id, signal)?),
-            None => Ok(()),
-        }
-    }
-}
-
 /// Size of the files in an instance's data directory; files may vanish meanwhile.
 fn size(home: &Path) -> io::Result<u64> {
     let Ok(entries) = fs::read_dir(home.join("data")) else {
@@ -299,7 +250,7 @@
 }
 
 /// Finds a /24 network on loopback that no other run uses.
-fn reserve_network() -> io::Result<([u8; 2], TcpListener)> {
+pub(crate) fn reserve_network() -> io::Result<([u8; 2], TcpListener)> {
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
     for second in 20..=250 {
         let guard = Ipv4Addr::new(127, 77, second, GUARD_HOST);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,11 +1,14 @@
-//! Soak of a control group: real processes on loopback addresses, operators that send
-//! configurations and read them back, and a seeded schedule of overlapping faults.
+//! Soak of a control group, or of a whole deployment: real processes on loopback addresses,
+//! operators that send configurations and read them back, and a seeded schedule of overlapping
+//! faults. A whole deployment also has backend servers and callers.
 
 mod client;
 mod document;
+mod fleet;
 mod group;
 mod ledger;
 mod plan;
+mod process;
 mod regressions;
 mod run;
 mod stalls;
@@ -13,6 +16,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+pub use fleet::{FleetOptions, FleetReport, Sizes, run_fleet};
 pub use regressions::{REGRESSIONS, Regression};
 pub use run::{Report, SoakError, run};
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,10 +2,13 @@
 
 mod flags;
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use fulmardrift_soak::{Options, REGRESSIONS, Report, SoakError, run};
+use fulmardrift_soak::{
+    FleetOptions, FleetReport, Options, REGRESSIONS, Report, Sizes, SoakError, run, run_fleet,
+};
 use tokio::task::JoinSet;
 
 use crate::flags::Soak;
@@ -16,6 +19,10 @@
 const BYTES_PER_MB: u64 = 1_000_000;
 /// A configuration has at least one seventh of the routes of the largest.
 const SIZE_RANGE: u32 = 7;
+/// Bounds of a grown deployment: `ack_ms`, `config_apply_ms` and `contact_ms`.
+const ACK: Duration = Duration::from_secs(5);
+const APPLY: Duration = Duration::from_millis(2_500);
+const CONTACT: Duration = Duration::from_secs(4);
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -27,16 +34,32 @@
             return ExitCode::FAILURE;
         }
     };
+    let groups = flags.groups.unwrap_or(1);
+    let first = flags.first.unwrap_or(1);
+    let seeds = first..first + flags.seeds.unwrap_or(50);
+    if flags.deployment {
+        let options = fleet_options(&flags, &options);
+        let run = |seed| {
+            let options = options.clone();
+            async move { print_fleet(run_fleet(options, seed).await) }
+        };
+        return run_all(seeds.map(run).collect(), groups).await;
+    }
     let runs: Vec<(u64, Duration)> = if flags.regressions {
         let all = REGRESSIONS.iter();
         all.map(|r| (r.seed, Duration::from_secs(r.seconds)))
             .collect()
     } else {
-        let first = flags.first.unwrap_or(1);
-        let seeds = first..first + flags.seeds.unwrap_or(50);
         seeds.map(|seed| (seed, options.length)).collect()
     };
-    run_all(&options, runs, flags.groups.unwrap_or(1)).await
+    let run = |(seed, length)| {
+        let options = Options {
+            length,
+            ..options.clone()
+        };
+        async move { print_report(run(options, seed).await) }
+    };
+    run_all(runs.into_iter().map(run).collect(), groups).await
 }
 
 fn options(flags: &Soak) -> std::io::Result<Options> {
@@ -58,32 +81,51 @@
     })
 }
 
-async fn run_all(options: &Options, runs: Vec<(u64, Duration)>, groups: usize) -> ExitCode {
+fn fleet_options(flags: &Soak, group: &Options) -> FleetOptions {
+    let routes = flags.routes.unwrap_or(100);
+    FleetOptions {
+        program: group.program.clone(),
+        sizes: Sizes {
+            controls: flags.controls.unwrap_or(5),
+            entries: flags.entries.unwrap_or(10),
+            agents: flags.agents.unwrap_or(58),
+        },
+        length: group.length,
+        faults: !flags.no_faults,
+        per_second: flags.per_second.unwrap_or(90),
+        routes: (routes / SIZE_RANGE, routes),
+        ack: ACK,
+        apply: APPLY,
+        contact: CONTACT,
+        recovery: Duration::from_secs(flags.recovery_s.unwrap_or(15)),
+        catch_up: Duration::from_secs(flags.catch_up_s.unwrap_or(6)),
+        logs: group.logs.clone(),
+    }
+}
+
+/// Runs all seeds, so many at the same time, and prints what was found.
+async fn run_all<F>(runs: Vec<F>, groups: usize) -> ExitCode
+where
+    F: Future<Output = bool> + Send + 'static,
+{
     let total = runs.len();
     let (mut done, mut failed) = (0, 0);
     let mut waiting = runs.into_iter();
     let mut running = JoinSet::new();
     loop {
         while running.len() < groups.max(1)
-            && let Some((seed, length)) = waiting.next()
+            && let Some(next) = waiting.next()
         {
-            let options = Options {
-                length,
-                ..options.clone()
-            };
-            running.spawn(run(options, seed));
+            running.spawn(next);
         }
         let Some(ended) = running.join_next().await else {
             break;
         };
         done += 1;
-        let held = match ended {
-            Ok(ended) => print_report(ended),
-            Err(error) => {
-                println!("run failed: {error}");
-                false
-            }
-        };
+        let held = ended.unwrap_or_else(|error| {
+            println!("run failed: {error}");
+            false
+        });
         failed += usize::from(!held);
     }
     println!("{done} of {total} seeds, {failed} with findings");
@@ -94,6 +136,42 @@
     }
 }
 
+fn print_fleet(ended: Result<FleetReport, SoakError>) -> bool {
+    let report = match ended {
+        Ok(report) => report,
+        Err(error) => {
+            println!("cannot run: {error}");
+            return false;
+        }
+    };
+    println!(
+        "seed {}: sent={} served={} starts={} acknowledged={} stalls={} recovered_ms={} findings={}",
+        report.seed,
+        report.sent,
+        report.served,
+        report.starts,
+        report.acknowledged,
+        report.stalls,
+        recovery(report.recovered_in),
+        report.findings.len()
+    );
+    print_findings(&report.findings, report.logs.as_deref())
+}
+
+fn recovery(time: Option<Duration>) -> String {
+    time.map_or("never".to_owned(), |time| time.as_millis().to_string())
+}
+
+fn print_findings(findings: &[String], logs: Option<&Path>) -> bool {
+    for finding in findings {
+        println!("  {finding}");
+    }
+    if let Some(logs) = logs {
+        println!("  logs in {}", logs.display());
+    }
+    findings.is_empty()
+}
+
 fn print_report(ended: Result<Report, SoakError>) -> bool {
     let report = match ended {
         Ok(report) => report,
@@ -102,7 +180,6 @@
             return false;
         }
     };
-    let recovered = report.recovered_in.map(|t| t.as_millis());
     println!(
         "seed {}: acknowledged={} refused={} reads={} longest_gap_ms={} stalls={} recovered_ms={} findings={}",
         report.seed,
@@ -111,14 +188,8 @@
         report.reads,
         report.longest_gap.as_millis(),
         report.stalls,
-        recovered.map_or("never".to_owned(), |ms| ms.to_string()),
+        recovery(report.recovered_in),
         report.findings.len()
     );
-    for finding in &report.findings {
-        println!("  {finding}");
-    }
-    if let Some(logs) = &report.logs {
-        println!("  logs in {}", logs.display());
-    }
-    report.findings.is_empty()
+    print_findings(&report.findings, report.logs.as_deref())
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -42,6 +42,7 @@
 
 /// Why a run cannot be carried out. A finding is no such error.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SoakError {
     /// A process or a file cannot be used.
     #[snafu(display("{what}: {source}"))]
@@ -111,6 +112,7 @@
     let documents = Documents {
         seed,
         routes: options.routes,
+        queues: false,
     };
     let shared = Arc::new(Shared {
         documents,
