Soak: a loopback proxy whose paths can be slowed, silenced or reset

Proxy::open listens at the address by which a host is known and passes connections on to the one at which its process listens, from the caller's own address. Proxy::set changes the path from one host to another: open, delayed, silent, reset. A close or a reset does not pass a silent path. One task a connection, at most 64 KiB held a direction. Lost connection requests and full accept queues cannot be played on loopback; the module says so.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,13 +6,16 @@
 mod group;
 mod ledger;
 mod plan;
+mod proxy;
 mod regressions;
+mod relay;
 mod run;
 mod stalls;
 
 use std::path::PathBuf;
 use std::time::Duration;
 
+pub use proxy::{Path, Proxy};
 pub use regressions::{REGRESSIONS, Regression};
 pub use run::{Report, SoakError, run};
 
