--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,7 +9,9 @@
 mod ledger;
 mod plan;
 mod process;
+mod proxy;
 mod regressions;
+mod relay;
 mod run;
 mod stalls;
 
@@ -17,6 +19,7 @@
 use std::time::Duration;
 
 pub use fleet::{FleetOptions, FleetReport, Sizes, run_fleet};
+pub use proxy::{Path, Proxy};
 pub use regressions::{REGRESSIONS, Regression};
 pub use run::{Report, SoakError, run};
 
