--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -42,5 +42,7 @@
         optional --per-second count: u32
         /// Plays no faults.
         optional --no-faults
+        /// Cuts no connections; for a program without the setting `bind_ip`.
+        optional --no-cuts
     }
 }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -25,6 +25,7 @@
 use crate::client::Caller;
 use crate::document::Documents;
 use crate::fleet::callers::{Rotation, Tally};
+use crate::fleet::faults::Calm;
 use crate::fleet::judge::Judge;
 use crate::fleet::layout::{Class, Host, Layout};
 use crate::fleet::server::Server;
@@ -54,6 +55,8 @@
     pub length: Duration,
     /// True if the schedule has faults.
     pub faults: bool,
+    /// True if connections are cut too. The program then has to know the setting `bind_ip`.
+    pub cuts: bool,
     /// Number of jobs a second.
     pub per_second: u32,
     /// Smallest and largest number of routes in a configuration, besides those for the jobs.
@@ -106,8 +109,8 @@
     directory: TempDir,
     /// Processes by host, sorted.
     processes: Vec<(Host, tokio::sync::Mutex<Process>)>,
-    /// Since when each process is undisturbed, sorted by host.
-    calm: Mutex<Vec<(Host, Option<Instant>)>>,
+    /// When each host was last disturbed, sorted by host.
+    calm: Mutex<Vec<Calm>>,
     servers: Vec<Arc<Server>>,
     judge: Arc<Judge>,
     documents: Documents,
@@ -125,6 +128,8 @@
 /// A process cannot be started or a file cannot be written.
 pub async fn run_fleet(options: FleetOptions, seed: u64) -> Result<FleetReport, SoakError> {
     let shared = Arc::new(Shared::new(options, seed).context(IoSnafu { what: "set up" })?);
+    let opened = shared.layout.open().await;
+    opened.context(IoSnafu { what: "proxy" })?;
     let mut backends = JoinSet::new();
     for server in &shared.servers {
         server.spawn(&mut backends);
@@ -155,7 +160,7 @@
 
 impl Shared {
     fn new(options: FleetOptions, seed: u64) -> io::Result<Self> {
-        let layout = Layout::reserve(options.sizes)?;
+        let layout = Layout::reserve(options.sizes, options.cuts)?;
         let documents = Documents {
             seed,
             routes: options.routes,
@@ -167,6 +172,11 @@
             .collect();
         let hosts: Vec<Host> = options.sizes.processes().collect();
         let callers = Host::new(Class::Caller, 0);
+        let calm = |host| Calm {
+            host,
+            faults: 0,
+            since: Instant::now(),
+        };
         Ok(Self {
             seed,
             directory: TempDir::with_prefix("soak-")?,
@@ -174,7 +184,7 @@
                 .iter()
                 .map(|host| (*host, tokio::sync::Mutex::default()))
                 .collect(),
-            calm: Mutex::new(hosts.iter().map(|host| (*host, None)).collect()),
+            calm: Mutex::new(options.sizes.all().map(calm).collect()),
             servers,
             judge,
             documents,
@@ -196,7 +206,7 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn calm(&self) -> MutexGuard<'_, Vec<(Host, Option<Instant>)>> {
+    fn calm(&self) -> MutexGuard<'_, Vec<Calm>> {
         self.calm.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -233,7 +243,13 @@
         }
         if self.options.faults {
             let options = &self.options;
-            let steps = plan::plan(self.seed, options.length, options.sizes, options.catch_up);
+            let steps = plan::plan(
+                self.seed,
+                options.length,
+                options.sizes,
+                options.catch_up,
+                options.cuts,
+            );
             self.play(steps).await;
         } else {
             sleep(self.options.length).await;
--- a/soak/src/fleet/backend.rs
+++ b/soak/src/fleet/backend.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 struct Run {
     task: String,
-    run: u64,
+    id: u64,
     cpu: u64,
     started: Instant,
     /// When its work is done.
@@ -97,7 +97,7 @@
         let now = Instant::now();
         self.settle(now, judge);
         for run in self.running.drain(..) {
-            judge.ended(&run.task, run.run, self.backend, now, End::Killed);
+            judge.ended(&run.task, run.id, self.backend, now, End::Killed);
         }
     }
 
@@ -143,7 +143,7 @@
         let (Some(task), Some(run), Some(spec), Some(until)) = fields else {
             return (400, Value::Null);
         };
-        if self.running.iter().any(|r| r.task == task && r.run == run) {
+        if self.running.iter().any(|r| r.task == task && r.id == run) {
             return self.ok();
         }
         if until <= self.clock_ms() {
@@ -161,7 +161,7 @@
         judge.started(task, run, self.backend, now);
         self.running.push(Run {
             task: task.to_owned(),
-            run,
+            id: run,
             cpu,
             started: now,
             finish: now + Duration::from_millis(word(spec, "work")),
@@ -175,7 +175,7 @@
             return (400, Value::Null);
         };
         let mut running = self.running.iter_mut();
-        match running.find(|r| r.task == task && r.run == run) {
+        match running.find(|r| r.task == task && r.id == run) {
             Some(found) => {
                 found.stop_at.get_or_insert(now + STOP);
             }
@@ -205,7 +205,7 @@
         let running = self.running.iter().map(|r| {
             let work = r.finish - r.started;
             let percent = 100 * whole_millis(r.started.elapsed()) / whole_millis(work).max(1);
-            json!([r.task, r.run, "", percent.min(99), r.cpu])
+            json!([r.task, r.id, "", percent.min(99), r.cpu])
         });
         let ended = self.ended.iter().take(MAX_ENDS).map(|e| {
             let how = match e.end {
@@ -243,13 +243,13 @@
         self.running = rest.into_iter().map(|(_, run)| run).collect();
         due.sort_by_key(|((at, _), _)| *at);
         for ((at, end), run) in due {
-            judge.ended(&run.task, run.run, self.backend, at, end);
-            self.close(&run.task, run.run);
+            judge.ended(&run.task, run.id, self.backend, at, end);
+            self.close(&run.task, run.id);
             self.last_end += 1;
             self.ended.push(Ended {
                 number: self.last_end,
                 task: run.task,
-                run: run.run,
+                run: run.id,
                 at,
                 end,
             });
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,23 +12,43 @@
 use crate::fleet::layout::{Class, GRACE_S, Host};
 use crate::fleet::plan::Step;
 use crate::process::LOG;
+use crate::proxy::Path;
 
 /// Pause between two looks at the processes.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Number of lines of a log that a finding quotes.
 const QUOTED: usize = 4;
 
+/// When a host was last disturbed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Calm {
+    pub(crate) host: Host,
+    /// Number of faults that it is under.
+    pub(crate) faults: u32,
+    pub(crate) since: Instant,
+}
+
+impl Calm {
+    fn since(self) -> Option<Instant> {
+        (self.faults == 0).then_some(self.since)
+    }
+}
+
 impl Shared {
     /// Carries out a schedule.
     pub(crate) async fn play(self: &Arc<Self>, steps: Vec<(u64, Step)>) {
         let began = Instant::now();
         for (at, step) in steps {
             sleep_until(began + Duration::from_millis(at)).await;
-            self.note(&describe(step));
+            let what = describe(&step);
+            self.note(&what);
             if let Err(error) = self.carry_out(step).await {
-                self.note(&format!("{}: {error}", describe(step)));
+                self.find(format!("cannot {what}: {error}"));
             }
         }
+        if let Some(proxy) = &self.layout.proxy {
+            proxy.heal();
+        }
         // A planned stop may still take its grace period.
         for (host, process) in &self.processes {
             if !process.lock().await.is_up() {
@@ -43,7 +63,11 @@
                 self.disturb(host, true);
                 self.process(host)?.lock().await.kill().await
             }
-            Step::Start(host) => self.start(host, false).await,
+            Step::Start(host) => {
+                let started = self.start(host, false).await;
+                self.disturb(host, false);
+                started
+            }
             Step::Restart(host) => {
                 self.disturb(host, true);
                 tokio::spawn(Arc::clone(self).restart(host));
@@ -66,6 +90,13 @@
                 self.servers[usize::from(number)].set(mode);
                 Ok(())
             }
+            Step::Cut(from, to, path) => {
+                for host in from.iter().chain(&to) {
+                    self.disturb(*host, path != Path::Open);
+                }
+                self.layout.cut(&from, &to, path);
+                Ok(())
+            }
         }
     }
 
@@ -89,9 +120,7 @@
         let home = self.home(host);
         let settings = self.layout.settings(host, &home, first);
         let mut process = self.process(host)?.lock().await;
-        let started = process.start(&self.options.program, &home, &settings);
-        self.disturb(host, false);
-        started
+        process.start(&self.options.program, &home, &settings)
     }
 
     fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<crate::process::Process>> {
@@ -104,19 +133,25 @@
         self.directory.path().join(host.to_string())
     }
 
-    /// Notes that a host is disturbed from now on, or no longer.
-    fn disturb(&self, host: Host, disturbed: bool) {
+    /// Notes that a fault has begun or ended at a host.
+    fn disturb(&self, host: Host, begins: bool) {
         let mut calm = self.calm();
-        if let Ok(at) = calm.binary_search_by_key(&host, |(h, _)| *h) {
-            calm[at].1 = (!disturbed).then(Instant::now);
+        if let Ok(at) = calm.binary_search_by_key(&host, |calm| calm.host) {
+            let calm = &mut calm[at];
+            calm.since = Instant::now();
+            calm.faults = if begins {
+                calm.faults + 1
+            } else {
+                calm.faults.saturating_sub(1)
+            };
         }
     }
 
     /// Since when a host is undisturbed.
     pub(crate) fn calm_since(&self, host: Host) -> Option<Instant> {
         let calm = self.calm();
-        let found = calm.binary_search_by_key(&host, |(h, _)| *h);
-        found.ok().and_then(|at| calm[at].1)
+        let found = calm.binary_search_by_key(&host, |calm| calm.host);
+        found.ok().map(|at| calm[at]).and_then(Calm::since)
     }
 
     /// Since when the control group is undisturbed.
@@ -162,14 +197,14 @@
     }
 }
 
-fn last_lines(log: &Path) -> String {
+fn last_lines(log: &std::path::Path) -> String {
     let text = fs::read(log).unwrap_or_default();
     let text = String::from_utf8_lossy(&text);
     let lines: Vec<&str> = text.lines().collect();
     lines[lines.len().saturating_sub(QUOTED)..].join(" | ")
 }
 
-fn describe(step: Step) -> String {
+fn describe(step: &Step) -> String {
     match step {
         Step::Kill(host) => format!("kill {host}"),
         Step::Start(host) => format!("start {host}"),
@@ -177,6 +212,14 @@
         Step::Freeze(host) => format!("freeze {host}"),
         Step::Thaw(host) => format!("thaw {host}"),
         Step::Wipe(host) => format!("lose the disk of {host}"),
-        Step::Backend(number, mode) => format!("backend-{number} {mode:?}"),
+        Step::Backend(number, mode) => format!("set backend-{number} {mode:?}"),
+        Step::Cut(from, to, path) => {
+            format!("set path {path:?} from {} to {}", names(from), names(to))
+        }
     }
 }
+
+fn names(hosts: &[Host]) -> String {
+    let names: Vec<String> = hosts.iter().map(Host::to_string).collect();
+    names.join(" ")
+}
--- a/soak/src/fleet/judge.rs
+++ b/soak/src/fleet/judge.rs
@@ -23,7 +23,7 @@
 /// One start of a task.
 #[derive(Debug)]
 struct Run {
-    run: u64,
+    id: u64,
     backend: u8,
     started: Instant,
     ended: Option<(Instant, End)>,
@@ -52,7 +52,7 @@
 
     pub(crate) fn started(&self, task: &str, run: u64, backend: u8, started: Instant) {
         self.tasks().entry(task.to_owned()).or_default().push(Run {
-            run,
+            id: run,
             backend,
             started,
             ended: None,
@@ -71,7 +71,7 @@
     fn update(&self, task: &str, run: u64, backend: u8, change: impl FnOnce(&mut Run)) {
         let mut tasks = self.tasks();
         let runs = tasks.get_mut(task).into_iter().flatten();
-        let mut matching = runs.filter(|r| r.run == run && r.backend == backend);
+        let mut matching = runs.filter(|r| r.id == run && r.backend == backend);
         if let Some(found) = matching.next_back() {
             change(found);
         }
@@ -111,7 +111,7 @@
             let _ = write!(
                 text,
                 "; run {} on backend-{} from {:.3}",
-                run.run,
+                run.id,
                 run.backend,
                 seconds(run.started)
             );
--- a/soak/src/fleet/layout.rs
+++ b/soak/src/fleet/layout.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
-use std::path::Path;
 
 use crate::group::reserve_network;
+use crate::proxy::{Path, Proxy};
 
 /// Port at which an agent serves its backend server, and a control instance its operators.
 const CONTROL_PORT: u16 = 8166;
@@ -91,6 +91,13 @@
         (0..count).map(move |number| Host::new(class, number))
     }
 
+    /// All hosts.
+    pub(crate) fn all(self) -> impl Iterator<Item = Host> {
+        let others = [Class::Backend, Class::Caller];
+        let others = others.into_iter().flat_map(move |class| self.hosts(class));
+        self.processes().chain(others)
+    }
+
     /// All hosts with a process of their own.
     pub(crate) fn processes(self) -> impl Iterator<Item = Host> {
         let classes = [Class::Control, Class::Entry, Class::Agent];
@@ -103,20 +110,62 @@
 pub(crate) struct Layout {
     pub(crate) sizes: Sizes,
     network: [u8; 2],
+    /// Paths between the hosts, if they can be cut.
+    pub(crate) proxy: Option<Proxy>,
     // Holds the addresses of the run as long as it lasts.
     _guard: TcpListener,
 }
 
 impl Layout {
-    pub(crate) fn reserve(sizes: Sizes) -> io::Result<Self> {
+    pub(crate) fn reserve(sizes: Sizes, proxied: bool) -> io::Result<Self> {
         let (network, guard) = reserve_network()?;
         Ok(Self {
             sizes,
             network,
+            proxy: proxied.then(Proxy::new),
             _guard: guard,
         })
     }
 
+    /// Has the proxy listen at the addresses by which others know the hosts.
+    pub(crate) async fn open(&self) -> io::Result<()> {
+        let Some(proxy) = &self.proxy else {
+            return Ok(());
+        };
+        for host in self.sizes.all() {
+            let (ip, bind_ip) = (self.ip(host), self.bind_ip(host));
+            proxy.add_host(ip, bind_ip);
+            let ports: &[u16] = match host.class {
+                Class::Control => &[CONTROL_PORT, SESSION_PORT],
+                Class::Entry => &[CALLER_PORT, READINESS_PORT, SESSION_PORT],
+                Class::Agent => &[CONTROL_PORT],
+                Class::Backend => &[BACKEND_PORT],
+                Class::Caller => &[],
+            };
+            for port in ports {
+                let front = SocketAddrV4::new(ip, *port);
+                proxy.open(front, SocketAddrV4::new(bind_ip, *port)).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sets the paths from some hosts to others.
+    pub(crate) fn cut(&self, from: &[Host], to: &[Host], path: Path) {
+        let Some(proxy) = &self.proxy else {
+            return;
+        };
+        let ips = |hosts: &[Host], others: &[Host]| {
+            let backend = others.iter().any(|host| host.class == Class::Backend);
+            let agent = |host: &&Host| host.class == Class::Agent && backend;
+            let mut ips: Vec<_> = hosts.iter().map(|host| self.ip(*host)).collect();
+            // An agent's calls to its backend server, on its own machine, have no source address.
+            ips.extend(hosts.iter().find(agent).map(|_| Ipv4Addr::LOCALHOST));
+            ips
+        };
+        proxy.set(&ips(from, to), &ips(to, from), path);
+    }
+
     /// The address by which others know a host.
     pub(crate) fn ip(&self, host: Host) -> Ipv4Addr {
         let first = match host.class {
@@ -131,7 +180,9 @@
 
     /// The address at which a host listens and from which it connects.
     pub(crate) fn bind_ip(&self, host: Host) -> Ipv4Addr {
-        self.ip(host)
+        let [first, second, third, last] = self.ip(host).octets();
+        let behind = u8::from(self.proxy.is_some());
+        Ipv4Addr::new(first, second + behind, third, last)
     }
 
     /// Where an agent serves its backend server, or a control instance its operators.
@@ -160,39 +211,46 @@
     }
 
     /// The settings file of a process.
-    pub(crate) fn settings(&self, host: Host, home: &Path, first: bool) -> String {
+    pub(crate) fn settings(&self, host: Host, home: &std::path::Path, first: bool) -> String {
         let seeds: Vec<String> = self
             .sizes
             .hosts(Class::Control)
             .take(usize::from(SEEDS))
             .map(|seed| self.control(seed).to_string())
             .collect();
+        let bind_ip = self.bind_ip(host);
+        let listen = |port| format!("\"{}\"", SocketAddrV4::new(bind_ip, port));
         let (serves, own, listen) = match host.class {
             Class::Control => (
                 "control_plane",
                 format!("data_dir = \"{}\"\n", home.join("data").display()),
-                format!("control = \"{}\"\n", self.control(host)),
+                format!("control = {}\n", listen(CONTROL_PORT)),
             ),
             Class::Entry => (
                 "frontend",
                 String::new(),
                 format!(
-                    "frontend = \"{}\"\nreadiness = \"{}\"\n",
-                    self.callers(host),
-                    self.readiness(host)
+                    "frontend = {}\nreadiness = {}\n",
+                    listen(CALLER_PORT),
+                    listen(READINESS_PORT)
                 ),
             ),
             Class::Agent | Class::Backend | Class::Caller => (
                 "side",
                 format!("app = \"{}\"\n", self.backend(host.number)),
-                format!("control = \"{}\"\n", self.control(host)),
+                format!("control = {}\n", listen(CONTROL_PORT)),
             ),
         };
+        let bind = match self.proxy {
+            Some(_) => format!("bind_ip = \"{bind_ip}\"\n"),
+            None => String::new(),
+        };
         let machines = (self.sizes.controls - 1) / 2;
         format!(
             "node_name = \"{host}\"\n\
              serves = [\"{serves}\"]\n\
              ip = \"{ip}\"\n\
+             {bind}\
              zone = \"{zone}\"\n\
              internal_ports = [{SESSION_PORT}, {last}]\n\
              seeds = {seeds:?}\n\
--- a/soak/src/fleet/operate.rs
+++ b/soak/src/fleet/operate.rs
@@ -21,7 +21,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const READ_PAUSE: Duration = Duration::from_millis(150);
 /// How long a request for a queue waits.
-const PROBE_WAIT: Duration = Duration::from_millis(1_000);
+const PROBE_WAIT: Duration = Duration::from_secs(1);
 /// One in so many changes is followed by requests for its queue.
 const PROBED: u32 = 3;
 
--- a/soak/src/fleet/plan.rs
+++ b/soak/src/fleet/plan.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::layout::{Class, Host, Sizes};
 use crate::fleet::server::Mode;
+use crate::proxy::Path;
 
 /// Time before the first fault, in ms.
 const FIRST_FAULT: u64 = 2_000;
@@ -25,7 +26,7 @@
 const MANY: usize = 6;
 
 /// One step of the schedule.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Step {
     /// SIGKILL.
     Kill(Host),
@@ -39,10 +40,27 @@
     /// The disk of a killed process is lost.
     Wipe(Host),
     Backend(u8, Mode),
+    /// Sets the paths from some hosts to others.
+    Cut(Vec<Host>, Vec<Host>, Path),
 }
 
+/// Likelihood of a cut, if there are any.
+const CUTS: u32 = 14;
+/// Longest addition to the pause of a cut, in ms: sessions are closed after less.
+const CUT_MORE: u64 = 2_000;
+
+/// Pairs of classes between which connections are cut.
+const LINKS: [(Class, Class); 6] = [
+    (Class::Caller, Class::Entry),
+    (Class::Entry, Class::Agent),
+    (Class::Control, Class::Entry),
+    (Class::Control, Class::Agent),
+    (Class::Control, Class::Control),
+    (Class::Agent, Class::Backend),
+];
+
 /// Likelihood of each fault.
-const FAULTS: [(Fault, u32); 10] = [
+const FAULTS: [(Fault, u32); 11] = [
     (Fault::Killed(Class::Control), 3),
     (Fault::Killed(Class::Entry), 4),
     (Fault::Killed(Class::Agent), 6),
@@ -53,6 +71,7 @@
     (Fault::DiskLost, 2),
     (Fault::PowerLost, 1),
     (Fault::Backends, 8),
+    (Fault::Cut, CUTS),
 ];
 
 #[derive(Debug, Clone, Copy)]
@@ -65,6 +84,7 @@
     /// All control instances, or all processes, are killed.
     PowerLost,
     Backends,
+    Cut,
 }
 
 /// A schedule under construction.
@@ -76,6 +96,7 @@
     /// Time from which a host is undisturbed, sorted by host.
     free_at: Vec<(Host, u64)>,
     catch_up: u64,
+    cuts: bool,
 }
 
 /// Steps in order, with their times after the start in ms. A disk is lost only when all control
@@ -85,14 +106,16 @@
     length: Duration,
     sizes: Sizes,
     catch_up: Duration,
+    cuts: bool,
 ) -> Vec<(u64, Step)> {
-    let hosts = sizes.processes().chain(sizes.hosts(Class::Backend));
+    let hosts = sizes.all();
     let mut plan = Plan {
         rng: Pcg64::seed_from_u64(seed),
         sizes,
         steps: Vec::new(),
         free_at: hosts.map(|host| (host, 0)).collect(),
         catch_up: millis(catch_up),
+        cuts,
     };
     let mut now = FIRST_FAULT;
     while now < millis(length) {
@@ -109,7 +132,11 @@
 
 impl Plan {
     fn add(&mut self, now: u64) {
-        let weighted = FAULTS.choose_weighted(&mut self.rng, |(_, weight)| *weight);
+        let weight = |(fault, weight): &(Fault, u32)| match fault {
+            Fault::Cut if !self.cuts => 0,
+            _ => *weight,
+        };
+        let weighted = FAULTS.choose_weighted(&mut self.rng, weight);
         let Ok((fault, _)) = weighted.copied() else {
             return;
         };
@@ -153,6 +180,47 @@
                 let heal = |host: Host| Step::Backend(host.number, Mode::Up);
                 self.pairs(now, pause, &hosts, hit, heal);
             }
+            Fault::Cut => self.cut(now),
+        }
+    }
+
+    /// Cuts some hosts of a class off from one or from all of another class.
+    fn cut(&mut self, now: u64) {
+        let link = *LINKS.choose(&mut self.rng).unwrap_or(&LINKS[0]);
+        let (near, far) = match link {
+            (Class::Caller, class) => (self.draw(Class::Caller, now), self.draw(class, now)),
+            (Class::Agent, Class::Backend) => {
+                let agents = self.draw(Class::Agent, now);
+                let beside = agents.iter().map(|a| Host::new(Class::Backend, a.number));
+                let backends = beside.collect();
+                (agents, backends)
+            }
+            (first, second) => {
+                let near = self.draw(first, now);
+                let mut far: Vec<Host> = self.sizes.hosts(second).collect();
+                far.retain(|host| !near.contains(host));
+                if self.rng.random() {
+                    let count = self.rng.random_range(1..=far.len().max(1));
+                    far = far.into_iter().sample(&mut self.rng, count);
+                }
+                (near, far)
+            }
+        };
+        let pause = self.pause() + self.rng.random_range(0..CUT_MORE);
+        let path = if self.rng.random_range(0..4) == 0 {
+            Path::Reset
+        } else {
+            Path::Silent
+        };
+        // Both ways, or one of them.
+        let ways = self.rng.random_range(0..4);
+        for (from, to, skipped) in [(&near, &far, 1), (&far, &near, 2)] {
+            if ways != skipped {
+                let cut = Step::Cut(from.clone(), to.clone(), path);
+                let heal = Step::Cut(from.clone(), to.clone(), Path::Open);
+                self.steps.push((now, cut));
+                self.steps.push((now + pause, heal));
+            }
         }
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -92,6 +92,7 @@
         },
         length: group.length,
         faults: !flags.no_faults,
+        cuts: !flags.no_cuts,
         per_second: flags.per_second.unwrap_or(90),
         routes: (routes / SIZE_RANGE, routes),
         ack: ACK,
