--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -42,6 +42,8 @@
         optional --per-second count: u32
         /// Plays no faults.
         optional --no-faults
+        /// Keeps the logs of all runs.
+        optional --keep
         /// Cuts no connections; for a program without the setting `bind_ip`.
         optional --no-cuts
     }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -73,6 +73,8 @@
     pub catch_up: Duration,
     /// Directory for the logs of runs with findings.
     pub logs: Option<PathBuf>,
+    /// True to keep the logs of all runs.
+    pub keep: bool,
 }
 
 /// What a run did and found.
@@ -96,7 +98,7 @@
     pub findings: Vec<String>,
     /// What was done, one line a step, with seconds from the start.
     pub trace: String,
-    /// Directory with logs and trace, if there are findings.
+    /// Directory with logs and trace, if they are kept.
     pub logs: Option<PathBuf>,
 }
 
@@ -331,7 +333,7 @@
         let ledger = self.ledger();
         let mut logs = None;
         if let Some(directory) = &self.options.logs
-            && !ledger.findings().is_empty()
+            && (self.options.keep || !ledger.findings().is_empty())
         {
             let target = directory.join(format!("fleet-{}", self.seed));
             self.keep_logs(&target, ledger.trace())
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -101,6 +101,7 @@
         recovery: Duration::from_secs(flags.recovery_s.unwrap_or(15)),
         catch_up: Duration::from_secs(flags.catch_up_s.unwrap_or(6)),
         logs: group.logs.clone(),
+        keep: flags.keep,
     }
 }
 
