Let a process listen at and connect from another address than its known one

A host behind address translation is reached at an address that it does not have. A process listened at the address by which others know it and left the source of its connections to the system, so it could not start there.

Without the setting nothing changes. AgentNode::start, EntryNodeConfig and ControlNodeConfig get bind_ip.

--- a/src/node/address.rs
+++ b/src/node/address.rs
@@ -20,6 +20,11 @@
     ReplicaId((ip << PORT_BITS) | u64::from(address.port()))
 }
 
+/// Address at which a process listens that others reach at `address`.
+pub(crate) fn listen_address(address: SocketAddrV4, bind_ip: Option<Ipv4Addr>) -> SocketAddrV4 {
+    SocketAddrV4::new(bind_ip.unwrap_or(*address.ip()), address.port())
+}
+
 /// Returns the address of a replica.
 #[must_use]
 pub fn replica_address(id: ReplicaId) -> SocketAddrV4 {
--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -1,13 +1,13 @@
 //! Runs an agent: feeds its state machine and executes the commands that it returns.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::entry_links::EntryLinks;
-use super::link::LinkEvent;
+use super::link::{LinkEvent, Origin};
 use super::links::{ControlLinks, LeaderUpdate};
 use crate::dispatch::agent::{AgentTimes, ServerAgent, ServerAgentInput, ServerAgentOutput};
 use crate::dispatch::dispatcher_link::Owner;
@@ -35,11 +35,13 @@
 
 impl AgentNode {
     /// Starts an agent on the current runtime. The receiver yields its calls to the backend server;
-    /// each must be answered with [`AgentNode::replied`].
+    /// each must be answered with [`AgentNode::replied`]. Sessions are opened from the address
+    /// `bind_ip`, if there is one.
     #[must_use]
     pub fn start(
         name: &str,
         seeds: Vec<SocketAddrV4>,
+        bind_ip: Option<Ipv4Addr>,
         times: AgentTimes,
     ) -> (Self, mpsc::Receiver<ServerCall>) {
         let clock = Clock::new();
@@ -47,10 +49,14 @@
         let (entry_tx, entry_rx) = mpsc::channel(EVENT_QUEUE_LEN);
         let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
         let (call_tx, call_rx) = mpsc::channel(EVENT_QUEUE_LEN);
+        let origin = Origin {
+            initiator: Initiator::Agent(name.to_owned()),
+            bind_ip,
+        };
         let actor = Actor {
             agent: ServerAgent::new(times),
-            links: ControlLinks::new(Initiator::Agent(name.to_owned()), clock, seeds, link_tx),
-            entries: EntryLinks::new(Initiator::Agent(name.to_owned()), clock, entry_tx),
+            links: ControlLinks::new(origin.clone(), clock, seeds, link_tx),
+            entries: EntryLinks::new(origin, clock, entry_tx),
             clock,
             calls: call_tx,
         };
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -1,7 +1,7 @@
 //! Runs a control instance: feeds its replica and executes the commands that it returns.
 
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,8 +12,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::address::{replica_address, replica_id};
-use super::link::{self, Link, LinkEvent};
+use super::address::{listen_address, replica_address, replica_id};
+use super::link::{self, Link, LinkEvent, Origin};
 use super::sessions::{self, SessionEvent, SessionQueues};
 use crate::control::log::{DiskId, ReplicaId};
 use crate::control::message::Message;
@@ -88,6 +88,8 @@
 pub struct ControlNodeConfig {
     /// Address at which other processes open their sessions.
     pub address: SocketAddrV4,
+    /// Address to listen at and to open sessions from, if it is not the one in `address`.
+    pub bind_ip: Option<Ipv4Addr>,
     /// Addresses of instances to contact first; may include this one.
     pub seeds: Vec<SocketAddrV4>,
     /// True at the very first start of the system; ignored unless `seeds` includes this instance.
@@ -135,11 +137,11 @@
         let directory = LogDirectory::open(&cfg.data).context(DataDirectorySnafu)?;
         let (wal, durable) = Wal::open(directory, new_disk_id).context(DataLogSnafu)?;
         let open_duration = clock.now().since(open_started_at);
-        let address = cfg.address;
+        let address = listen_address(cfg.address, cfg.bind_ip);
         let listener = TcpListener::bind(address)
             .await
             .context(ListenSnafu { address })?;
-        let own_id = replica_id(address);
+        let own_id = replica_id(cfg.address);
         let seed_ids: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
         let founder = cfg.founder && seed_ids.contains(&own_id);
         let peers = seed_ids.into_iter().filter(|id| *id != own_id).collect();
@@ -164,6 +166,7 @@
             clock,
             writer,
             own_id,
+            bind_ip: cfg.bind_ip,
             links: Table::default(),
             link_tx: ignore_links(),
             sessions: SessionQueues::default(),
@@ -174,8 +177,8 @@
         };
         tokio::spawn(actor.run(rx));
         events::STARTED.log(format_args!(
-            "control address={address} founder={founder} log_opened_ms={} file_bound={bound}",
-            open_duration.0
+            "control address={} founder={founder} log_opened_ms={} file_bound={bound}",
+            cfg.address, open_duration.0
         ));
         Ok(Self { tx, leader })
     }
@@ -234,6 +237,7 @@
     clock: Clock,
     writer: std::sync::mpsc::Sender<Batch>,
     own_id: ReplicaId,
+    bind_ip: Option<Ipv4Addr>,
     // Links to the other instances.
     links: Table<ReplicaId, Link>,
     link_tx: mpsc::Sender<LinkEvent>,
@@ -366,14 +370,17 @@
     }
 
     fn link(&mut self, to: ReplicaId) -> &Link {
-        let (own_id, clock) = (self.own_id, self.clock);
+        let (own_id, bind_ip, clock) = (self.own_id, self.bind_ip, self.clock);
         let event_tx = &self.link_tx;
         self.links.or_insert_with(to, || {
-            let initiator = Initiator::Replica(own_id.0);
+            let origin = Origin {
+                initiator: Initiator::Replica(own_id.0),
+                bind_ip,
+            };
             link::open(
                 LinkId(to.0),
                 replica_address(to),
-                initiator,
+                origin,
                 clock,
                 event_tx.clone(),
             )
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -1,6 +1,6 @@
 //! Runs an entry: feeds its call router and executes the commands that it returns.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -10,8 +10,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::address::replica_id;
-use super::link::LinkEvent;
+use super::address::{listen_address, replica_id};
+use super::link::{LinkEvent, Origin};
 use super::links::{ControlLinks, LeaderUpdate};
 use super::sessions::{self, SessionEvent, SessionQueues};
 use crate::core::clock::Millis;
@@ -45,6 +45,8 @@
     pub name: String,
     /// Address at which agents open their sessions.
     pub address: SocketAddrV4,
+    /// Address to listen at and to open sessions from, if it is not the one in `address`.
+    pub bind_ip: Option<Ipv4Addr>,
     /// Addresses of control instances to contact first.
     pub seeds: Vec<SocketAddrV4>,
 }
@@ -67,19 +69,18 @@
     /// The entry cannot listen on its address.
     pub async fn start(cfg: EntryNodeConfig) -> std::io::Result<Self> {
         let clock = Clock::new();
-        let listener = TcpListener::bind(cfg.address).await?;
+        let listener = TcpListener::bind(listen_address(cfg.address, cfg.bind_ip)).await?;
         let life = rand::rng().random_range(1..u64::MAX);
         let (link_tx, link_rx) = mpsc::channel(EVENT_QUEUE_LEN);
         let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
         let open_calls = Arc::new(AtomicUsize::new(0));
         let ready = Arc::new(AtomicBool::new(false));
+        let origin = Origin {
+            initiator: Initiator::Entry(cfg.name.clone(), replica_id(cfg.address).0),
+            bind_ip: cfg.bind_ip,
+        };
         let actor = Actor {
-            links: ControlLinks::new(
-                Initiator::Entry(cfg.name.clone(), replica_id(cfg.address).0),
-                clock,
-                cfg.seeds,
-                link_tx,
-            ),
+            links: ControlLinks::new(origin, clock, cfg.seeds, link_tx),
             router: CallRouter::new(life, clock.now()),
             sessions: SessionQueues::default(),
             clock,
--- a/src/node/entry_links.rs
+++ b/src/node/entry_links.rs
@@ -4,13 +4,13 @@
 
 use super::address::replica_address;
 use super::agent::dispatcher_input;
-use super::link::{self, Link, LinkEvent};
+use super::link::{self, Link, LinkEvent, Origin};
 use crate::control::log::ReplicaId;
 use crate::core::clock::Millis;
 use crate::dispatch::agent::ServerAgentInput;
 use crate::dispatch::call_router::LinkId;
 use crate::dispatch::dispatcher_link::Owner;
-use crate::dispatch::wire::{AcceptorMessage, Initiator, InitiatorMessage};
+use crate::dispatch::wire::{AcceptorMessage, InitiatorMessage};
 use crate::shell::clock::Clock;
 
 /// The link to an entry that the group no longer lists is kept for this long: a new leader does not
@@ -28,7 +28,7 @@
 
 /// The links of one agent to the entries.
 pub(crate) struct EntryLinks {
-    initiator: Initiator,
+    origin: Origin,
     clock: Clock,
     event_tx: mpsc::Sender<LinkEvent>,
     links: Vec<KnownEntry>,
@@ -36,13 +36,9 @@
 }
 
 impl EntryLinks {
-    pub(crate) fn new(
-        initiator: Initiator,
-        clock: Clock,
-        event_tx: mpsc::Sender<LinkEvent>,
-    ) -> Self {
+    pub(crate) fn new(origin: Origin, clock: Clock, event_tx: mpsc::Sender<LinkEvent>) -> Self {
         Self {
-            initiator,
+            origin,
             clock,
             event_tx,
             links: Vec::new(),
@@ -70,7 +66,7 @@
             let link = link::open(
                 id,
                 to,
-                self.initiator.clone(),
+                self.origin.clone(),
                 self.clock,
                 self.event_tx.clone(),
             );
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -1,13 +1,14 @@
 //! A link: a session to a control instance or an entry that is reopened whenever it closes.
 
 use std::future::ready;
-use std::net::SocketAddrV4;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use backon::{BackoffBuilder, ExponentialBuilder};
 use snafu::ResultExt;
-use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -57,12 +58,30 @@
     }
 }
 
+/// How a process opens its sessions.
+#[derive(Debug, Clone)]
+pub(crate) struct Origin {
+    pub(crate) initiator: Initiator,
+    /// Source address of its connections; `None` for the one that the system chooses.
+    pub(crate) bind_ip: Option<Ipv4Addr>,
+}
+
+impl Origin {
+    async fn connect(&self, address: SocketAddrV4) -> io::Result<TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        if let Some(ip) = self.bind_ip {
+            socket.bind(SocketAddr::new(IpAddr::V4(ip), 0))?;
+        }
+        socket.connect(SocketAddr::V4(address)).await
+    }
+}
+
 /// Opens a link. Its task reopens the session until the link or the receiver of its events is
 /// dropped.
 pub(crate) fn open(
     id: LinkId,
     address: SocketAddrV4,
-    initiator: Initiator,
+    origin: Origin,
     clock: Clock,
     event_tx: mpsc::Sender<LinkEvent>,
 ) -> Link {
@@ -70,7 +89,7 @@
     let dialer = Dialer {
         id,
         address,
-        initiator,
+        origin,
         clock,
         event_tx,
         rx,
@@ -82,7 +101,7 @@
 struct Dialer {
     id: LinkId,
     address: SocketAddrV4,
-    initiator: Initiator,
+    origin: Origin,
     clock: Clock,
     event_tx: mpsc::Sender<LinkEvent>,
     rx: OutgoingReceiver<InitiatorMessage>,
@@ -97,7 +116,7 @@
             .without_max_times();
         let mut pauses = backoff.build();
         loop {
-            let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+            let stream = timeout(CONNECT_TIMEOUT, self.origin.connect(self.address)).await;
             if let Ok(Ok(stream)) = stream {
                 pauses = backoff.build();
                 if self.run_session(stream).await.is_err() {
@@ -155,7 +174,7 @@
         let writer = Writer::new(write, &peer);
         tokio::select! {
             ended = reading => ended,
-            ended = write_messages(writer, &self.initiator, self.clock, &mut self.rx) => ended,
+            ended = write_messages(writer, &self.origin.initiator, self.clock, &mut self.rx) => ended,
             ended = peer.watch_silence(SILENCE_TIMEOUT, SILENCE_CHECK_INTERVAL) => ended,
         }
     }
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -5,10 +5,10 @@
 use tokio::sync::mpsc;
 
 use super::address::replica_address;
-use super::link::{self, Link, LinkEvent};
+use super::link::{self, Link, LinkEvent, Origin};
 use crate::control::log::{ReplicaId, Term};
 use crate::dispatch::call_router::LinkId;
-use crate::dispatch::wire::{AcceptorMessage, Initiator, InitiatorMessage};
+use crate::dispatch::wire::{AcceptorMessage, InitiatorMessage};
 use crate::shell::clock::Clock;
 
 struct InstanceLink {
@@ -33,7 +33,7 @@
 
 /// The links of one process to the control instances.
 pub(crate) struct ControlLinks {
-    initiator: Initiator,
+    origin: Origin,
     clock: Clock,
     event_tx: mpsc::Sender<LinkEvent>,
     seeds: Vec<SocketAddrV4>,
@@ -44,13 +44,13 @@
 
 impl ControlLinks {
     pub(crate) fn new(
-        initiator: Initiator,
+        origin: Origin,
         clock: Clock,
         seeds: Vec<SocketAddrV4>,
         event_tx: mpsc::Sender<LinkEvent>,
     ) -> Self {
         let mut links = Self {
-            initiator,
+            origin,
             clock,
             event_tx,
             seeds: Vec::new(),
@@ -157,7 +157,7 @@
             let link = link::open(
                 id,
                 address,
-                self.initiator.clone(),
+                self.origin.clone(),
                 self.clock,
                 self.event_tx.clone(),
             );
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -46,6 +46,7 @@
     drop(free);
     let cfg = ControlNodeConfig {
         address,
+        bind_ip: None,
         seeds: vec![address],
         founder: true,
         tolerated_losses: 0,
