--- a/tests/founding.rs
+++ b/tests/founding.rs
@@ -33,6 +33,7 @@
         .unwrap();
     let cfg = ControlNodeConfig {
         address: seeds[at],
+        bind_ip: None,
         seeds: seeds.to_vec(),
         founder,
         tolerated_losses: 1,
