--- a/tests/catch_up_orders.rs
+++ b/tests/catch_up_orders.rs
@@ -45,6 +45,10 @@
 /// Seeds that CI plays; more by hand with `FULMARDRIFT_SEEDS`, from `FULMARDRIFT_FIRST_SEED` on.
 const SEEDS: u64 = 2;
 
+/// Seeds that once failed with three voters. 57: a whole snapshot was lost with the process that got it, and
+/// counted as in flight for 3.7 s.
+const FAILED_SEEDS: [u64; 1] = [57];
+
 fn given_number(variable: &str, default: u64) -> u64 {
     let given = std::env::var(variable).ok();
     given.and_then(|n| n.parse().ok()).unwrap_or(default)
@@ -322,6 +326,13 @@
     play_seeds(5);
 }
 
+#[test]
+fn three_voters_outlive_the_orders_that_once_failed() {
+    for seed in FAILED_SEEDS {
+        play(3, seed, GroupRules::default()).unwrap();
+    }
+}
+
 /// Takes power from all instances while two of them replace their logs by snapshots.
 fn restart_while_snapshots_are_written(rules: GroupRules) -> Outcome {
     let mut order = Order::new(3, 0, rules);
