--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -24,6 +24,7 @@
         let cfg = EntryNodeConfig {
             name: "entry".to_owned(),
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0),
+            bind_ip: None,
             seeds: Vec::new(),
         };
         let node = EntryNode::start(cfg).await.unwrap();
