Keep an agent's newer session when the greeting of an earlier one comes late

An agent that connects just before a cut gives the session up after 0.9 s and opens another one. The greeting of the first, sent again by the kernel, could arrive after that of the second. The dispatcher then took the first for the agent's session and, when it ended, held none, while it went on answering the heartbeats of the second, without a grant: no task was placed at that agent until its session broke. Callers would have seen less capacity.

Sessions are numbered as they are accepted, so a greeting over a lower number than that of the agent's session is passed over, with a line in the log.

--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -23,6 +23,15 @@
     ) -> Vec<(TaskId, RunId)> {
         let id = self.worker_id(now, agent);
         let worker = &mut self.workers[id.0];
+        // Sessions are numbered as they are accepted: the agent has given this one up.
+        if let Some(newer) = worker.session.filter(|newer| *newer > session) {
+            log::info!(
+                "agent={agent} late greeting: session={} newer={}",
+                session.0,
+                newer.0
+            );
+            return Vec::new();
+        }
         if let Some(former) = worker.session.replace(session) {
             self.by_session.remove(&former);
         }
