--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -136,6 +136,7 @@
     for server in &shared.servers {
         server.spawn(&mut backends);
     }
+    backends.spawn(server::tick(shared.servers.clone()));
     for host in shared.layout.sizes.processes() {
         let started = shared.start(host, true).await;
         started.context(IoSnafu { what: "start" })?;
--- a/soak/src/fleet/server.rs
+++ b/soak/src/fleet/server.rs
@@ -74,6 +74,18 @@
     ended: Notify,
 }
 
+/// Ends runs at all backend servers, and wakes the hold calls that wait for them.
+pub(crate) async fn tick(servers: Vec<Arc<Server>>) {
+    loop {
+        sleep(TICK).await;
+        for server in &servers {
+            if server.settle() {
+                server.ended.notify_waiters();
+            }
+        }
+    }
+}
+
 impl Server {
     pub(crate) fn new(layout: &Layout, number: u8, seed: u64, judge: Arc<Judge>) -> Arc<Self> {
         let host = Host::new(Class::Backend, number);
@@ -113,16 +125,6 @@
     pub(crate) fn spawn(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
         tasks.spawn(Arc::clone(self).listen());
         tasks.spawn(Arc::clone(self).announce());
-        tasks.spawn(Arc::clone(self).tick());
-    }
-
-    async fn tick(self: Arc<Self>) {
-        loop {
-            sleep(TICK).await;
-            if self.settle() {
-                self.ended.notify_waiters();
-            }
-        }
     }
 
     /// Ends the runs whose time has come; true if there are ends to list.
