Revoke orders that meet the report of another backend server

A late notice that the backend server ends, of a former incarnation, makes an agent without runs report that there is none; the next heartbeat brings the same incarnation back. An entry that had sent an order before it read the first report took the run for lost at once and started its task elsewhere, while the agent carried the order out. The cause is that of the order that meets an older inventory: what a report does not hold counts as ended, though the agent had not seen the order when it sent it.

Runs that were not reported as started are now revoked at a change of the backend server, as with inventories, and count until the agent has answered.

--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -124,7 +124,9 @@
             }
             AgentReport::Server(server) => {
                 if server.as_ref().map_or(0, |s| s.life) != self.workers[id.0].life() {
-                    self.lose_all_runs(now, id, RunProof::OtherServer);
+                    let runs = self.workers[id.0].runs.iter();
+                    let keys = runs.map(|(key, _)| *key).collect();
+                    self.revoke_or_lose(now, id, keys, RunProof::OtherServer, out);
                 }
                 self.workers[id.0].set_server(server);
                 self.may_place = true;
@@ -198,11 +200,7 @@
             gone.len()
         ));
         let agent = worker.agent.clone();
-        for key in gone {
-            if !self.revoke_run(id, key, out) {
-                self.lose_run(now, id, key, RunProof::NotListed);
-            }
-        }
+        self.revoke_or_lose(now, id, gone, RunProof::NotListed, out);
         for key in runs {
             self.adopt_run(now, id, *key, out);
         }
@@ -277,11 +275,27 @@
         }
     }
 
-    /// Revokes a run that is missing from the agent's inventory. An agent that has restarted does
-    /// not know of an unanswered start, which may still reach the backend server. An order that was
-    /// sent before the inventory arrived may still be carried out, also by an agent that had no use
-    /// of its backend server when it sent the inventory. Returns true if
-    /// the run is being revoked; it is kept until the agent answers.
+    /// Handles runs that the agent does not hold any more, by its latest report. The agent may not
+    /// have seen all orders when it sent that, so runs that may still start are revoked.
+    fn revoke_or_lose(
+        &mut self,
+        now: Millis,
+        id: WorkerId,
+        keys: Vec<(TaskId, RunId)>,
+        proof: RunProof,
+        out: &mut Vec<DispatchOutput>,
+    ) {
+        for key in keys {
+            if !self.revoke_run(id, key, out) {
+                self.lose_run(now, id, key, proof);
+            }
+        }
+    }
+
+    /// Revokes a run that was not reported as started. An agent that has restarted does not know of
+    /// an unanswered start, which may still reach the backend server. An order that crosses the
+    /// agent's report may still be carried out, whatever that says of the backend server. Returns
+    /// true if the run is being revoked; it is kept until the agent answers.
     fn revoke_run(
         &mut self,
         id: WorkerId,
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -544,3 +544,22 @@
         assert_eq!(fleet.overlaps(), [], "paused for {paused_for} ms");
     }
 }
+
+/// Guards against two runs of a task at a time: an order meets a report that the backend server has
+/// left, which a late notice of its former incarnation had caused.
+#[test]
+fn an_order_that_meets_the_notice_of_a_server_that_has_left_starts_no_second_run() {
+    for away in 2..30 {
+        let mut fleet = Fleet::new(1, 2, 1_500);
+        fleet.run(1_000);
+        fleet.entries[0].frozen = true;
+        fleet.call(0, 1, submit(JobId(1), job(2, 1_500, true)), 9_000);
+        fleet.agent_input(0, ServerAgentInput::ServerLeft("s0".to_owned()));
+        let heartbeat = fleet.agents[0].server.heartbeat();
+        fleet.agent_input(0, ServerAgentInput::Heartbeat(heartbeat));
+        fleet.run(away);
+        fleet.wake_entry(0);
+        fleet.run(6_000);
+        assert_eq!(fleet.overlaps(), [], "away for {away} ms");
+    }
+}
