Answer jobs that have ended before calls that have expired

A completed job was answered 503, which says that nothing has run, and its caller submitted it again. Its end and its deadline came in the same turn: since the turn ends expired calls first, and the job was no longer known.

What the inputs of a turn have caused is carried out before calls expire.

--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -217,10 +217,16 @@
     /// Ends a batch of inputs: starts tasks, and answers the calls of jobs that ended. `wall_clock`
     /// is the wall-clock time from which run ids are derived.
     pub fn flush(&mut self, now: Millis, wall_clock: Millis, out: &mut Vec<CallRouterOutput>) {
+        // A job that has just ended is answered, even if its deadline has passed as well.
+        self.execute_actions(now, out);
         // After a pause of the process, this may come before the tick.
         self.expire(now, out);
         self.dispatcher
             .place_jobs(now, wall_clock, &self.evacuated, &mut self.actions);
+        self.execute_actions(now, out);
+    }
+
+    fn execute_actions(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
         for action in std::mem::take(&mut self.actions) {
             match action {
                 DispatchOutput::Message(session, message) => {
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -563,3 +563,27 @@
         assert_eq!(fleet.overlaps(), [], "away for {away} ms");
     }
 }
+
+/// Guards against a job that has ended and is answered as not run: its end comes in the turn in which
+/// its deadline passes.
+#[test]
+fn a_job_that_ends_at_its_deadline_is_not_answered_as_not_run() {
+    for frozen in [0, 60, 150] {
+        for wait in 290..340 {
+            let mut fleet = Fleet::new(1, 1, 300);
+            fleet.run(1_000);
+            fleet.call(0, 1, submit(JobId(1), job(1, 300, true)), wait);
+            if frozen > 0 {
+                fleet.run(295);
+                fleet.entries[0].frozen = true;
+                fleet.run(frozen);
+                fleet.wake_entry(0);
+            }
+            fleet.run(600);
+            let spans = fleet.spans();
+            let done = spans.iter().any(|s| s.outcome == Some(RunOutcome::Done));
+            let refused = matches!(fleet.answer(0, 1), Some(CallReply::Refused(_)));
+            assert!(!done || !refused, "waits {wait} ms, paused for {frozen} ms");
+        }
+    }
+}
