Answer jobs with a revoked run as ones that may have run

A job was answered 503, which says that nothing has run, though a backend server had worked on it: its agent paused between the start and its report, dropped the run when the lease had expired, and sent an inventory without a backend server.

A job of which a run was revoked counts as one that may have run. This also holds for runs that never started; their callers get 504 where they got 503. The test failed before and passes now.

--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -313,6 +313,10 @@
             return false;
         }
         placed.stopping = true;
+        if let Some(job) = self.jobs.get_mut(&key.0.job) {
+            // It may have run: the agent's answer says only that it can start no more.
+            job.has_lost_run = true;
+        }
         let (task, run) = key;
         let order = AgentOrder::Revoke { task, run };
         out.push(DispatchOutput::Message(
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -587,3 +587,26 @@
         }
     }
 }
+
+/// Guards against a run that began and is answered as not run: its agent paused before it reported
+/// the start, and its lease expired.
+#[test]
+fn a_start_that_was_not_reported_is_not_answered_as_not_run() {
+    for before in 0..6 {
+        let mut fleet = Fleet::new(1, 1, 1_500);
+        fleet.run(1_000);
+        fleet.call(0, 1, submit(JobId(1), job(1, 1_500, true)), 2_000);
+        fleet.run(before);
+        fleet.agents[0].frozen = true;
+        fleet.run(450);
+        fleet.wake(0);
+        fleet.agent_input(0, ServerAgentInput::ServerLeft("s0".to_owned()));
+        fleet.agents[0].server.leaving = true;
+        fleet.run(2_500);
+        let refused = matches!(fleet.answer(0, 1), Some(CallReply::Refused(_)));
+        assert!(
+            fleet.spans().is_empty() || !refused,
+            "paused after {before} ms"
+        );
+    }
+}
