Keep the founder mark before the process waits for its address

Found by the review: the mark was written after the session's address was taken, which may take 15 s, and in place. An instance that was ended meanwhile, or lost power while it wrote, would not found the group after its restart, and the system would not start. The mark is written as soon as the log is open, in a new file that is renamed.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -132,18 +132,18 @@
             was_damaged,
         } = opened.context(DataLogSnafu)?;
         let open_duration = clock.now().since(open_started_at);
-        let address = listen_address(cfg.address, cfg.bind_ip);
-        let listener = listen(address).await.context(ListenSnafu { address })?;
         let own_id = replica_id(cfg.address);
         let seed_ids: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
-        let is_seed = seed_ids.contains(&own_id);
         // What a damaged log held may have been acknowledged.
         let is_first_start = cfg.founder && !was_damaged;
         let mark = FounderMark {
             disk: durable.disk,
             seeds: cfg.seeds.clone(),
         };
-        let founder = is_seed && mark.may_found(&cfg.data, is_first_start);
+        // Kept before the process waits for its address.
+        let founder = seed_ids.contains(&own_id) && mark.may_found(&cfg.data, is_first_start);
+        let address = listen_address(cfg.address, cfg.bind_ip);
+        let listener = listen(address).await.context(ListenSnafu { address })?;
         let peers = seed_ids.into_iter().filter(|id| *id != own_id).collect();
         let seed = rand::rng().random();
         let target_size = cfg.seeds.len().max(2 * cfg.tolerated_losses + 1);
--- a/src/store/founding.rs
+++ b/src/store/founding.rs
@@ -13,6 +13,7 @@
 use crate::control::log::DiskId;
 
 const MARK_FILE: &str = "founder";
+const NEW_MARK_FILE: &str = "founder.new";
 
 /// What an instance with an empty log was told at its first start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,9 +56,10 @@
     }
 
     fn write(&self, data: &Path) -> io::Result<()> {
-        let mut file = File::create(data.join(MARK_FILE))?;
+        let mut file = File::create(data.join(NEW_MARK_FILE))?;
         file.write_all(&serde_json::to_vec(self)?)?;
         file.sync_all()?;
+        fs::rename(data.join(NEW_MARK_FILE), data.join(MARK_FILE))?;
         File::open(data)?.sync_all()
     }
 }
