--- a/tests/transient_faults.rs
+++ b/tests/transient_faults.rs
@@ -213,7 +213,7 @@
     }
 }
 
-/// Guards against two runs of a task at a time (TWICE). `FULMARDRIFT_SEEDS=FROM-TO` plays others.
+/// Guards against two runs of a task at a time. `FULMARDRIFT_SEEDS=FROM-TO` plays other seeds.
 #[test]
 fn no_task_runs_twice_at_a_time() {
     let given = env::var("FULMARDRIFT_SEEDS").ok();
