Wait for an address that the machine does not have yet

A process whose machine gets its address a moment after the start ended with `cannot listen on ADDRESS: Cannot assign requested address`, while one whose address another process holds tries for 15 s.

Not seen on a real machine.

Change: both errors are tried again.

--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -1,4 +1,4 @@
-//! Listening on an address that a process which is about to end may still hold.
+//! Listening on an address that another process may still hold, or that the machine may not have yet.
 
 use std::io;
 use std::net::SocketAddrV4;
@@ -14,15 +14,16 @@
 /// Most tries. A process that is told to stop takes some seconds.
 const MAX_TRIES: u32 = 150;
 
-/// Listens on `address`. While another process holds it, tries again for 15 s.
+/// Listens on `address`. While another process holds it, or the machine does not have it, tries again
+/// for 15 s.
 ///
 /// # Errors
 ///
-/// The address is held for longer, or cannot be used.
+/// The address is held or missing for longer, or cannot be used.
 pub async fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
     for tried in 1..MAX_TRIES {
         match TcpListener::bind(address).await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+            Err(error) if may_change(&error) => {
                 if tried == 1 {
                     events::ADDRESS_HELD.log(format_args!("address={address}: {error}"));
                 }
@@ -33,3 +34,10 @@
     }
     TcpListener::bind(address).await
 }
+
+fn may_change(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable
+    )
+}
