Order nothing for a late call before its caller's end could arrive

Cause: requests that were held up arrive with the end of their connection right behind them, seconds after their callers sent the jobs to other entries. The entry ordered the tasks (E610, E609), then read the end (E602 state=None, E630), all in one millisecond. A wait in the entry's own queue and a pause of the process have the same effect.

A transient job whose call may be older than the resend time less the time in which runs are certain to have ended waits 20 ms for the end of its connection, and is dropped with it. After a turn that comes late by the same bound, all orders wait as long. Others are ordered at once. E633 names each such call with its age bound and its outcome.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -104,6 +104,7 @@
     let input = CallRouterInput::Call {
         token: number,
         call,
+        sent_after: now,
         deadline: now + TIMEOUT,
     };
     router.step(now, input, &mut out);
--- a/src/dispatch/call_expiry.rs
+++ b/src/dispatch/call_expiry.rs
@@ -33,7 +33,7 @@
             };
             let may_have_run = match &open.route {
                 CallRoute::Local(id) => self.dispatcher.may_have_run(*id),
-                CallRoute::Parked(_) => false,
+                CallRoute::Parked(_) | CallRoute::Held { .. } => false,
                 CallRoute::Forward { may_have_run, .. } => *may_have_run,
             };
             events::CALL_EXPIRED.log(format_args!(
@@ -42,6 +42,7 @@
                 now.since(open.received_at).0,
                 self.leader
             ));
+            self.end_hold(now, token, &open, "expired");
             self.remove_waiting_call(now, token, &open);
             let reply = if may_have_run {
                 CallReply::Unknown
@@ -70,6 +71,7 @@
                         || self.dispatcher.blocks_useful_jobs(now, *id)
                 }
                 CallRoute::Parked(_) => waited >= MAX_PARKED,
+                CallRoute::Held { .. } => waited >= give_up_after,
                 CallRoute::Forward { .. } => false,
             };
             if is_useless {
@@ -87,6 +89,7 @@
                     "call={token} way={:?} waited_ms={} reply={reply:?}",
                     open.route, waited.0
                 ));
+                self.end_hold(now, token, &open, "refused");
                 self.remove_waiting_call(now, token, &open);
                 out.push(CallRouterOutput::Answer(token, reply));
             }
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -9,6 +9,7 @@
 use super::call::{Call, CallReply, ClientAction};
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId};
 use super::guard::JobGuard;
+use super::late_calls::TurnGaps;
 use super::readiness::Readiness;
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
@@ -43,6 +44,8 @@
         token: u64,
         /// What it asks.
         call: Call,
+        /// The caller has sent it at this time at the earliest.
+        sent_after: Millis,
         /// When the call must be answered at the latest.
         deadline: Millis,
     },
@@ -83,6 +86,8 @@
     Local(JobId),
     /// Waits for the first configuration.
     Parked(Call),
+    /// Waits until its caller would be known to have left.
+    Held { call: Call, until: Millis },
     /// Forwarded to the leader. `sent` is the link that it was last sent on, `again` the earliest
     /// time to send it.
     Forward {
@@ -94,15 +99,19 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct IncomingCall {
-    token: u64,
-    received_at: Millis,
-    deadline: Millis,
+pub(super) struct IncomingCall {
+    pub(super) token: u64,
+    pub(super) sent_after: Millis,
+    pub(super) received_at: Millis,
+    pub(super) deadline: Millis,
+    /// Its caller is known to wait for it, however old it is.
+    pub(super) is_confirmed: bool,
 }
 
 #[derive(Debug)]
 pub(super) struct OpenCall {
     pub(super) route: CallRoute,
+    pub(super) sent_after: Millis,
     pub(super) received_at: Millis,
     pub(super) deadline: Millis,
 }
@@ -125,6 +134,9 @@
     recent_outcomes: Table<JobId, (Millis, JobStatus)>,
     swept_at: Millis,
     stops_at: Option<Millis>,
+    // Number of open calls with the route `Held`.
+    pub(super) held_calls: usize,
+    pub(super) gaps: TurnGaps,
     actions: Vec<DispatchOutput>,
 }
 
@@ -145,6 +157,8 @@
             recent_outcomes: Table::default(),
             swept_at: now,
             stops_at: None,
+            held_calls: 0,
+            gaps: TurnGaps::new(now),
             actions: Vec::new(),
         }
     }
@@ -160,12 +174,15 @@
             CallRouterInput::Call {
                 token,
                 call,
+                sent_after,
                 deadline,
             } => {
                 let incoming = IncomingCall {
                     token,
+                    sent_after,
                     received_at: now,
                     deadline,
+                    is_confirmed: false,
                 };
                 if self.ends_too_early(&incoming, &call) {
                     let reply = CallReply::Refused(RETRY_AFTER);
@@ -177,6 +194,7 @@
             CallRouterInput::StopsAt(at) => self.stops_at = Some(at),
             CallRouterInput::Left(token) => {
                 if let Some(open) = self.open_calls.remove(&token) {
+                    self.end_hold(now, token, &open, "left");
                     self.remove_waiting_call(now, token, &open);
                 }
             }
@@ -221,8 +239,10 @@
         self.execute_actions(now, out);
         // After a pause of the process, this may come before the tick.
         self.expire(now, out);
-        self.dispatcher
-            .place_jobs(now, wall_clock, &self.evacuated, &mut self.actions);
+        if self.end_turn(now, out) {
+            self.dispatcher
+                .place_jobs(now, wall_clock, &self.evacuated, &mut self.actions);
+        }
         self.execute_actions(now, out);
     }
 
@@ -254,7 +274,7 @@
         }
     }
 
-    fn on_call(
+    pub(super) fn on_call(
         &mut self,
         now: Millis,
         incoming: IncomingCall,
@@ -265,6 +285,7 @@
         let Some(config) = self.config.clone() else {
             let open = OpenCall {
                 route: CallRoute::Parked(call),
+                sent_after: incoming.sent_after,
                 received_at: incoming.received_at,
                 deadline: incoming.deadline,
             };
@@ -281,6 +302,13 @@
                     (Target::Job(queue, id), ClientAction::Submit(Some(spec)))
                         if spec.transient =>
                     {
+                        let is_known =
+                            self.dispatcher.has_job(id) || self.recent_outcomes.get(&id).is_some();
+                        if !is_known && self.may_be_late(now, &incoming) {
+                            let action = ClientAction::Submit(Some(spec));
+                            self.hold_call(now, &incoming, Call::Client { host, path, action });
+                            return;
+                        }
                         let reply = self.submit(now, incoming, id, &queue.settings, spec);
                         out.extend(reply.map(|reply| CallRouterOutput::Answer(token, reply)));
                         return;
@@ -298,6 +326,7 @@
         };
         let open = OpenCall {
             route,
+            sent_after: incoming.sent_after,
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
@@ -343,8 +372,10 @@
             {
                 let incoming = IncomingCall {
                     token,
+                    sent_after: open.sent_after,
                     received_at: open.received_at,
                     deadline: open.deadline,
+                    is_confirmed: false,
                 };
                 self.on_call(now, incoming, call, out);
             }
@@ -393,6 +424,7 @@
         self.waiting_calls.or_insert_with(id, Vec::new).push(token);
         let open = OpenCall {
             route: CallRoute::Local(id),
+            sent_after: incoming.sent_after,
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
--- a/src/dispatch/guard.rs
+++ b/src/dispatch/guard.rs
@@ -20,6 +20,8 @@
     CrashRecord,
     /// Dispatchers avoid a worker on which runs of several jobs stand still.
     Ejection,
+    /// An entry orders nothing for a late call before the end of its connection had time to arrive.
+    LateCall,
 }
 
 /// The rules that are turned off; empty except in a checker.
--- /dev/null
+++ b/src/dispatch/late_calls.rs
@@ -0,0 +1,141 @@
+//! Calls that may arrive after their callers have given them up and sent them to another entry.
+//!
+//! The end of such a call's connection follows it on the same path. So its tasks are not ordered
+//! before that had time to arrive.
+
+use super::call::Call;
+use super::call_router::{CallRoute, CallRouter, CallRouterOutput, IncomingCall, OpenCall};
+use super::guard::JobGuard;
+use crate::core::clock::Millis;
+use crate::events;
+
+/// A caller without an answer sends its job to another entry this long later at the earliest, in
+/// milliseconds.
+const MIN_RESEND: Millis = Millis(1_300);
+/// How long a late call waits for the end of its connection, in milliseconds: some round trips to
+/// a caller, since a lost packet is followed by the end only once it was sent again.
+const CONFIRM_WAIT: Millis = Millis(20);
+/// Longest time between two turns of an entry, in milliseconds, in which it reads what has arrived
+/// on its callers' connections. It ticks every 20 ms.
+const MAX_GAP: Millis = Millis(40);
+
+/// From when on an entry may order tasks, as far as its own pauses matter.
+#[derive(Debug)]
+pub(super) struct TurnGaps {
+    turn_ended_at: Millis,
+    orders_from: Millis,
+    late_orders_from: Millis,
+}
+
+impl TurnGaps {
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            turn_ended_at: now,
+            orders_from: now,
+            late_orders_from: now,
+        }
+    }
+
+    /// Notes the end of a turn. After a pause, callers may have left unnoticed: orders wait until
+    /// the ends of connections have been read, after a pause of `limit` those of all jobs.
+    fn end_turn(&mut self, now: Millis, limit: Millis) {
+        let gap = now.since(self.turn_ended_at);
+        self.turn_ended_at = now;
+        if gap > MAX_GAP {
+            self.late_orders_from = now + CONFIRM_WAIT;
+        }
+        if gap > limit {
+            self.orders_from = now + CONFIRM_WAIT;
+        }
+    }
+}
+
+impl CallRouter {
+    /// Age from which a call is late: by the time its caller can have sent it elsewhere, runs that
+    /// are ordered later may not have ended, even if its end is noticed.
+    fn late_after(&self) -> Millis {
+        if !self.dispatcher.guards.on(JobGuard::LateCall) {
+            return Millis(u64::MAX);
+        }
+        MIN_RESEND - self.dispatcher.lapse_time()
+    }
+
+    /// True if the caller may have given this call up before now, by the age that it can have.
+    pub(super) fn may_be_late(&self, now: Millis, incoming: &IncomingCall) -> bool {
+        !incoming.is_confirmed && now.since(incoming.sent_after) > self.late_after()
+    }
+
+    /// Keeps a late call until its caller is known to wait for it.
+    pub(super) fn hold_call(&mut self, now: Millis, incoming: &IncomingCall, call: Call) {
+        let open = OpenCall {
+            route: CallRoute::Held {
+                call,
+                until: now + CONFIRM_WAIT,
+            },
+            sent_after: incoming.sent_after,
+            received_at: incoming.received_at,
+            deadline: incoming.deadline,
+        };
+        self.held_calls += 1;
+        self.open_call(incoming.token, open);
+    }
+
+    /// True if a call is about to be released. The caller's ends of connections must be passed on
+    /// before.
+    pub(crate) fn has_due_calls(&self, now: Millis) -> bool {
+        self.held_calls > 0
+            && self.open_calls.iter().any(
+                |(_, open)| matches!(open.route, CallRoute::Held { until, .. } if now >= until),
+            )
+    }
+
+    /// Ends a turn. Returns true if tasks may be ordered now.
+    pub(super) fn end_turn(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) -> bool {
+        let limit = self.late_after();
+        self.gaps.end_turn(now, limit);
+        if now >= self.gaps.late_orders_from && self.has_due_calls(now) {
+            self.release_held(now, out);
+        }
+        now >= self.gaps.orders_from
+    }
+
+    fn release_held(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
+        let due = self.open_calls.iter().filter(
+            |(_, open)| matches!(open.route, CallRoute::Held { until, .. } if now >= until),
+        );
+        let due: Vec<_> = due.map(|(token, _)| *token).collect();
+        for token in due {
+            let Some(open) = self.open_calls.remove(&token) else {
+                continue;
+            };
+            self.end_hold(now, token, &open, "released");
+            if let CallRoute::Held { call, .. } = open.route {
+                let incoming = IncomingCall {
+                    token,
+                    sent_after: open.sent_after,
+                    received_at: open.received_at,
+                    deadline: open.deadline,
+                    is_confirmed: true,
+                };
+                self.on_call(now, incoming, call, out);
+            }
+        }
+    }
+
+    /// Notes how the wait of a late call ended; others are left out.
+    pub(super) fn end_hold(&mut self, now: Millis, token: u64, open: &OpenCall, outcome: &str) {
+        let CallRoute::Held { call, .. } = &open.route else {
+            return;
+        };
+        self.held_calls = self.held_calls.saturating_sub(1);
+        let path = match call {
+            Call::Client { path, .. } => path,
+            _ => "",
+        };
+        events::LATE_CALL.log(format_args!(
+            "call={token} path={path:?} max_age_ms={} waited_ms={} outcome={outcome}",
+            open.received_at.since(open.sent_after).0,
+            now.since(open.received_at).0
+        ));
+    }
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod dispatcher_link;
 pub(crate) mod ejection;
 pub(crate) mod guard;
+pub(crate) mod late_calls;
 pub(crate) mod live;
 pub(crate) mod pending_reply;
 pub(crate) mod placing;
--- a/src/events.rs
+++ b/src/events.rs
@@ -184,6 +184,8 @@
     RUNS_GONE = 631 Info "runs-gone";
     /// The main loop of a process stood still.
     PAUSED = 632 Warn "paused";
+    /// A call that may have been given up by its caller waited until that would be known.
+    LATE_CALL = 633 Info "late-call";
     /// The demo found a promise of the dispatcher broken.
     BROKEN = 900 Error "promise-broken";
 }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -34,13 +34,20 @@
 
 #[derive(Debug)]
 enum Event {
-    Call(u64, Call, Millis, oneshot::Sender<CallReply>),
+    Call(u64, Call, Sent, oneshot::Sender<CallReply>),
     CallerLeft(u64),
     Session(SessionEvent),
     StopsAt(Millis),
     Seeds(Vec<SocketAddrV4>),
 }
 
+/// Times of a call.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    after: Millis,
+    deadline: Millis,
+}
+
 /// Configuration of an entry.
 #[derive(Debug, Clone)]
 pub struct EntryNodeConfig {
@@ -105,12 +112,15 @@
     }
 
     /// Passes a call to the entry's dispatcher or to the leader, and returns the answer, which
-    /// comes within `wait` milliseconds. Dropping the future withdraws the call: a transient job
-    /// that no other call waits for is stopped.
-    pub async fn call(&self, call: Call, wait: Millis) -> CallReply {
+    /// comes within `wait` milliseconds. The caller sent it `max_age` ago at most. Dropping the
+    /// future withdraws the call: a transient job that no other call waits for is stopped.
+    pub async fn call(&self, call: Call, max_age: Millis, wait: Millis) -> CallReply {
         let (tx, rx) = oneshot::channel();
         let received_at = self.clock.now();
-        let deadline = received_at + wait;
+        let sent = Sent {
+            after: received_at - max_age,
+            deadline: received_at + wait,
+        };
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
         let mut guard = CallGuard {
             tx: &self.tx,
@@ -118,7 +128,7 @@
         };
         if self
             .tx
-            .send(Event::Call(token, call, deadline, tx))
+            .send(Event::Call(token, call, sent, tx))
             .await
             .is_err()
         {
@@ -225,6 +235,10 @@
                     self.router.step(self.clock.now(), input, &mut out);
                 }
             }
+            // The notice that a caller has left may still wait in the queue.
+            if self.router.has_due_calls(self.clock.now()) {
+                self.withdraw_left(self.clock.now(), &mut out);
+            }
             self.router.flush(self.clock.now(), unix_now(), &mut out);
             for output in out.drain(..) {
                 self.execute(output);
@@ -267,12 +281,13 @@
             }
             // The notice that a caller has left finds no room in a full queue.
             Event::Call(_, _, _, tx) if tx.is_closed() => None,
-            Event::Call(token, call, deadline, tx) => {
+            Event::Call(token, call, sent, tx) => {
                 self.callers.insert(token, tx);
                 Some(CallRouterInput::Call {
                     token,
                     call,
-                    deadline,
+                    sent_after: sent.after,
+                    deadline: sent.deadline,
                 })
             }
             Event::Session(SessionEvent::Opened(id, tx)) => {
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -294,10 +294,16 @@
     }
 
     pub fn call(&mut self, entry: usize, token: u64, call: Call, wait: u64) {
+        self.call_aged(entry, token, call, 0, wait);
+    }
+
+    /// A call that its caller sent at most `max_age` ms ago.
+    pub fn call_aged(&mut self, entry: usize, token: u64, call: Call, max_age: u64, wait: u64) {
         let deadline = self.now + Millis(wait);
         let input = CallRouterInput::Call {
             token,
             call,
+            sent_after: self.now - Millis(max_age),
             deadline,
         };
         self.router_input(entry, input);
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -6,7 +6,7 @@
 mod server;
 
 use fulmardrift::{
-    Call, CallReply, CallRouterInput, ClientAction, JobId, JobStatus, Millis, RunOutcome,
+    Call, CallReply, CallRouterInput, ClientAction, JobGuard, JobId, JobStatus, Millis, RunOutcome,
     ServerAgentInput, Term,
 };
 
@@ -610,3 +610,99 @@
         );
     }
 }
+
+/// Longest age of a request that is ordered at once, in milliseconds.
+const ON_TIME: u64 = 200;
+/// Age of a request whose caller has long sent the job to another entry, in milliseconds.
+const LATE: u64 = 2_900;
+
+/// Guards against two runs of a task at the same time: an entry ordered the tasks of a request that was
+/// held up on its way, one millisecond before it read that the caller had left.
+#[test]
+fn a_late_call_orders_nothing_if_its_caller_has_left() {
+    for guarded in [true, false] {
+        let disabled: &[_] = if guarded { &[] } else { &[JobGuard::LateCall] };
+        let mut fleet = Fleet::with_disabled(2, 2, 200, disabled);
+        fleet.call(1, 1, submit(JobId(7), job(4, 200, true)), 1_500);
+        fleet.run(20);
+        fleet.call_aged(0, 1, submit(JobId(7), job(4, 200, true)), LATE, 1_500);
+        fleet.run(5);
+        fleet.router_input(0, CallRouterInput::Left(1));
+        fleet.run(500);
+        assert_eq!(fleet.answer(1, 1), Some(&COMPLETED));
+        assert_eq!(fleet.overlaps().is_empty(), guarded);
+        assert_eq!(fleet.spans().len() == 4, guarded);
+    }
+}
+
+/// Guards against late orders after a pause: the entry ordered waiting jobs before it read that their
+/// callers had left.
+#[test]
+fn after_a_pause_nothing_is_ordered_before_the_ends_of_connections_are_read() {
+    let mut fleet = Fleet::new(1, 1, 200);
+    let mut out = Vec::new();
+    let now = fleet.now;
+    let router = fleet.entries[0].router.as_mut().unwrap();
+    let input = CallRouterInput::Call {
+        token: 1,
+        call: submit(JobId(7), job(4, 200, true)),
+        sent_after: now,
+        deadline: now + Millis(1_500),
+    };
+    // The process stands still within the turn.
+    router.step(now, input, &mut out);
+    router.flush(now + Millis(300), Millis(1_780_000_000_300), &mut out);
+    router.step(now + Millis(301), CallRouterInput::Left(1), &mut out);
+    router.flush(now + Millis(301), Millis(1_780_000_000_301), &mut out);
+    router.step(now + Millis(340), CallRouterInput::Tick, &mut out);
+    router.flush(now + Millis(340), Millis(1_780_000_000_340), &mut out);
+    assert_eq!(out, []);
+}
+
+/// Guards against late orders of calls that waited in the entry's own queue.
+#[test]
+fn a_call_that_waited_in_the_queue_orders_nothing_if_its_caller_has_left() {
+    let mut fleet = Fleet::new(1, 1, 200);
+    fleet.entries[0].frozen = true;
+    fleet.call(0, 1, submit(JobId(7), job(4, 200, true)), 1_500);
+    fleet.run(300);
+    fleet.wake_entry(0);
+    fleet.router_input(0, CallRouterInput::Left(1));
+    fleet.run(100);
+    assert_eq!(fleet.spans().len(), 0);
+}
+
+#[test]
+fn a_late_call_of_a_waiting_caller_is_served() {
+    let mut fleet = Fleet::new(1, 2, 50);
+    fleet.call_aged(0, 1, submit(JobId(7), job(2, 50, true)), LATE, 1_500);
+    fleet.run(200);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.spans().len(), 2);
+}
+
+#[test]
+fn a_call_that_can_not_be_late_is_ordered_at_once() {
+    for age in [0, ON_TIME] {
+        let mut fleet = Fleet::new(1, 2, 50);
+        fleet.call_aged(0, 1, submit(JobId(7), job(2, 50, true)), age, 1_500);
+        let sent_at = fleet.now;
+        fleet.run(10);
+        let spans = fleet.spans();
+        assert_eq!(spans.len(), 2, "age {age}");
+        // One hop to the agent, one to the backend server.
+        let at_once = |span: &server::Span| span.started_at <= sent_at + Millis(2);
+        assert!(spans.iter().all(at_once), "age {age}");
+    }
+}
+
+#[test]
+fn a_late_call_joins_the_job_that_runs() {
+    let mut fleet = Fleet::new(1, 2, 50);
+    fleet.call(0, 1, submit(JobId(7), job(2, 50, true)), 1_500);
+    fleet.run(10);
+    fleet.call_aged(0, 2, submit(JobId(7), job(2, 50, true)), LATE, 1_500);
+    fleet.run(45);
+    assert_eq!(fleet.answer(0, 2), Some(&COMPLETED));
+    assert_eq!(fleet.spans().len(), 2);
+}
