Give the soak of deployments the users' mix of jobs

The soak's own mix has jobs that cannot end before their deadline, and larger jobs than the users' site. `--mix users` has 244 of 1,000 jobs with 8 tasks of 60 ms, 44 with 4 of 900 ms, and the rest with 2 of 200 ms. One in 20 jobs is stored, as before. The default is unchanged.

--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -4,6 +4,8 @@
 
 use std::path::PathBuf;
 
+use fulmardrift_soak::Mix;
+
 xflags::xflags! {
     /// Plays seeded faults against control groups, or whole deployments, of real processes.
     cmd soak {
@@ -40,6 +42,8 @@
         optional --agents count: u8
         /// Number of jobs a second; default 90.
         optional --per-second count: u32
+        /// Kinds of jobs: own, or users, as the users' largest site has them; default own.
+        optional --mix mix: Mix
         /// Plays no faults.
         optional --no-faults
         /// Keeps the logs of all runs.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -34,6 +34,7 @@
 use crate::run::{IoSnafu, SoakError};
 use crate::stalls::Stalls;
 
+pub use callers::Mix;
 pub use layout::Sizes;
 
 /// Number of operators that send at the same time.
@@ -59,6 +60,8 @@
     pub cuts: bool,
     /// Number of jobs a second.
     pub per_second: u32,
+    /// Kinds of jobs.
+    pub mix: Mix,
     /// Smallest and largest number of routes in a configuration, besides those for the jobs.
     pub routes: (u32, u32),
     /// Time after which a change is acknowledged while the control group is whole.
--- a/soak/src/fleet/callers.rs
+++ b/soak/src/fleet/callers.rs
@@ -1,5 +1,6 @@
 //! Callers: they submit jobs, send again what got no answer, and ask for the state of stored jobs.
 
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -34,6 +35,52 @@
 const TASK_CPU: u64 = 5_500;
 /// One in so many jobs is stored.
 const STORED_SHARE: u64 = 20;
+/// The users' mix repeats after so many jobs.
+const USERS_JOBS: u64 = 1_000;
+/// Without a common factor with `USERS_JOBS`, so that equal jobs do not follow each other.
+const USERS_STRIDE: u64 = 617;
+
+/// Kinds of jobs and their shares.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mix {
+    /// Includes jobs that cannot end before their deadline.
+    #[default]
+    Own,
+    /// The jobs of the users' largest site.
+    Users,
+}
+
+impl Mix {
+    /// Number of tasks of a transient job, and their time in ms.
+    fn tasks(self, number: u64) -> (u64, u64) {
+        match self {
+            Self::Own => match number % 17 {
+                0 if number.is_multiple_of(3) => (4, 3_600),
+                0 => (4, 1_700),
+                1 => (4, 900),
+                2..=4 => (8, 60),
+                _ => (2, 200),
+            },
+            Self::Users => match number * USERS_STRIDE % USERS_JOBS {
+                0..244 => (8, 60),
+                244..288 => (4, 900),
+                _ => (2, 200),
+            },
+        }
+    }
+}
+
+impl FromStr for Mix {
+    type Err = &'static str;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        match name {
+            "own" => Ok(Self::Own),
+            "users" => Ok(Self::Users),
+            _ => Err("not a mix: own or users"),
+        }
+    }
+}
 
 /// What the callers got.
 #[derive(Debug, Default)]
@@ -88,22 +135,9 @@
 
 impl Job {
     /// The job of a number. Tasks of 1.7 s and 3.6 s cannot end before their deadline.
-    fn new(number: u64, rng: &mut Pcg64) -> Self {
+    fn new(mix: Mix, number: u64, rng: &mut Pcg64) -> Self {
         let stored = number % STORED_SHARE == 7;
-        let (tasks, work_ms) = match number % 17 {
-            _ if stored => (2, 200),
-            0 => (
-                4,
-                if number.is_multiple_of(3) {
-                    3_600
-                } else {
-                    1_700
-                },
-            ),
-            1 => (4, 900),
-            2..=4 => (8, 60),
-            _ => (2, 200),
-        };
+        let (tasks, work_ms) = if stored { (2, 200) } else { mix.tasks(number) };
         let first = if stored { STORED } else { '0' };
         let id: u64 = rng.random_range(0..1 << 60);
         Self {
@@ -136,7 +170,7 @@
     for number in 0.. {
         ticks.tick().await;
         while jobs.try_join_next().is_some() {}
-        let job = Job::new(number, &mut rng);
+        let job = Job::new(shared.options.mix, number, &mut rng);
         let entry = rng.random_range(0..usize::MAX / 2);
         if job.stored {
             jobs.spawn(Arc::clone(&shared).store(job, entry));
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -94,6 +94,7 @@
         faults: !flags.no_faults,
         cuts: !flags.no_cuts,
         per_second: flags.per_second.unwrap_or(90),
+        mix: flags.mix.unwrap_or_default(),
         routes: (routes / SIZE_RANGE, routes),
         ack: ACK,
         apply: APPLY,
