Hold the soak's processes to shares of processor time

The users' processes run under quotas, which the soak did not have: a deployment that has the whole machine hides what is late under its share. Stops for the share and by the plan are kept apart, so that neither ends the other, and are sent by pidfd, so that a reused id is never hit. The report has, by class, the periods in which the share was used up and the mean processor time, and for each run the time from the first process to the first job served.

--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -44,6 +44,10 @@
         optional --per-second count: u32
         /// Kinds of jobs: own, or users, as the users' largest site has them; default own.
         optional --mix mix: Mix
+        /// Holds each process to its share of processor time.
+        optional --shares
+        /// Share of an entry, in thousandths of a core; default: 90 to 300, drawn for each entry.
+        optional --entry-share share: u32
         /// Plays no faults.
         optional --no-faults
         /// Keeps the logs of all runs.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -8,6 +8,7 @@
 mod operate;
 mod plan;
 mod server;
+mod shares;
 
 use std::io;
 use std::path::PathBuf;
@@ -29,6 +30,7 @@
 use crate::fleet::judge::Judge;
 use crate::fleet::layout::{Class, Host, Layout};
 use crate::fleet::server::Server;
+use crate::fleet::shares::Keeper;
 use crate::ledger::Ledger;
 use crate::process::{LOG, Process, SETTINGS};
 use crate::run::{IoSnafu, SoakError};
@@ -36,6 +38,7 @@
 
 pub use callers::Mix;
 pub use layout::Sizes;
+pub use shares::ShareUse;
 
 /// Number of operators that send at the same time.
 const OPERATORS: u64 = 2;
@@ -62,6 +65,9 @@
     pub per_second: u32,
     /// Kinds of jobs.
     pub mix: Mix,
+    /// Smallest and largest share of an entry, in thousandths of a core, if each process is held to its
+    /// share of processor time.
+    pub shares: Option<(u32, u32)>,
     /// Smallest and largest number of routes in a configuration, besides those for the jobs.
     pub routes: (u32, u32),
     /// Time after which a change is acknowledged while the control group is whole.
@@ -95,6 +101,10 @@
     pub acknowledged: usize,
     /// Number of times at which the machine stood still.
     pub stalls: usize,
+    /// Time from the start of the first process until a job was served.
+    pub first_served: Option<Duration>,
+    /// Names of classes, and the use of their shares, if processes are held to them.
+    pub shares: Vec<(String, ShareUse)>,
     /// Time from the last fault until all were up and the callers were served.
     pub recovered_in: Option<Duration>,
     /// Violations; empty in a run that held.
@@ -140,6 +150,16 @@
         server.spawn(&mut backends);
     }
     backends.spawn(server::tick(shared.servers.clone()));
+    let began = Instant::now();
+    let keeper = if let Some(entry) = shared.options.shares {
+        let mut handles = Vec::new();
+        for (host, process) in &shared.processes {
+            handles.push((*host, process.lock().await.handle()));
+        }
+        Some(Keeper::start(seed, entry, handles))
+    } else {
+        None
+    };
     for host in shared.layout.sizes.processes() {
         let started = shared.start(host, true).await;
         started.context(IoSnafu { what: "start" })?;
@@ -150,9 +170,14 @@
     for number in 0..shared.rotations.len() {
         tasks.spawn(callers::check(Arc::clone(&shared), number));
     }
+    let first = tokio::spawn(callers::first(Arc::clone(&shared), began));
     let recovered_in = shared.play_all(&mut tasks).await;
     tasks.shutdown().await;
+    first.abort();
+    let first_served = first.await.ok();
     shared.find_ended();
+    let uses = keeper.map_or(Ok(Vec::new()), Keeper::stop);
+    let uses = uses.context(IoSnafu { what: "shares" })?;
     for (_, process) in &shared.processes {
         let killed = process.lock().await.kill().await;
         killed.context(IoSnafu { what: "stop" })?;
@@ -161,7 +186,15 @@
         server.settle();
     }
     backends.shutdown().await;
-    shared.report(recovered_in)
+    let report = shared.report(recovered_in)?;
+    Ok(FleetReport {
+        first_served,
+        shares: uses
+            .into_iter()
+            .map(|(class, used)| (class.to_string(), used))
+            .collect(),
+        ..report
+    })
 }
 
 impl Shared {
@@ -351,6 +384,8 @@
             starts: self.judge.starts(),
             acknowledged: ledger.acknowledgements(),
             stalls: self.stalls.count(),
+            first_served: None,
+            shares: Vec::new(),
             recovered_in,
             findings: ledger.findings().to_vec(),
             trace: ledger.trace().to_owned(),
--- a/soak/src/fleet/callers.rs
+++ b/soak/src/fleet/callers.rs
@@ -40,6 +40,11 @@
 /// Without a common factor with `USERS_JOBS`, so that equal jobs do not follow each other.
 const USERS_STRIDE: u64 = 617;
 
+/// Number of a job with eight short tasks, and the pause before it is submitted again, from the start
+/// until one is served.
+const FIRST: u64 = 2;
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
 /// Kinds of jobs and their shares.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Mix {
@@ -180,6 +185,22 @@
     }
 }
 
+/// Submits a job again and again until one is served, and returns the time since the start.
+pub(crate) async fn first(shared: Arc<Shared>, began: Instant) -> Duration {
+    let mut rng = Pcg64::seed_from_u64(!shared.seed.rotate_left(24));
+    loop {
+        let job = Job::new(Mix::Own, FIRST, &mut rng);
+        let posted = shared.post(&job, rng.random_range(0..usize::MAX / 2)).await;
+        if matches!(posted, Ok((StatusCode::OK, body)) if state(&body).as_deref() == Some("completed"))
+        {
+            let took = began.elapsed();
+            shared.note(&format!("first job served after {} ms", took.as_millis()));
+            return took;
+        }
+        sleep(FIRST_PAUSE).await;
+    }
+}
+
 impl Shared {
     /// Submits a transient job, and a second time if there was no answer.
     async fn submit(self: Arc<Self>, job: Job, entry: usize) {
--- a/soak/src/fleet/layout.rs
+++ b/soak/src/fleet/layout.rs
@@ -56,16 +56,21 @@
     }
 }
 
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Control => "control",
+            Self::Entry => "entry",
+            Self::Agent => "agent",
+            Self::Backend => "backend",
+            Self::Caller => "caller",
+        })
+    }
+}
+
 impl fmt::Display for Host {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let class = match self.class {
-            Class::Control => "control",
-            Class::Entry => "entry",
-            Class::Agent => "agent",
-            Class::Backend => "backend",
-            Class::Caller => "caller",
-        };
-        write!(f, "{class}-{}", self.number)
+        write!(f, "{}-{}", self.class, self.number)
     }
 }
 
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,7 +18,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-pub use fleet::{FleetOptions, FleetReport, Mix, Sizes, run_fleet};
+pub use fleet::{FleetOptions, FleetReport, Mix, ShareUse, Sizes, run_fleet};
 pub use proxy::{Path, Proxy};
 pub use regressions::{REGRESSIONS, Regression};
 pub use run::{Report, SoakError, run};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -23,6 +23,8 @@
 const ACK: Duration = Duration::from_secs(5);
 const APPLY: Duration = Duration::from_millis(2_500);
 const CONTACT: Duration = Duration::from_secs(4);
+/// Shares of the entries of the users' sites, in thousandths of a core.
+const ENTRY_SHARES: (u32, u32) = (90, 300);
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -95,6 +97,11 @@
         cuts: !flags.no_cuts,
         per_second: flags.per_second.unwrap_or(90),
         mix: flags.mix.unwrap_or_default(),
+        shares: flags.shares.then(|| {
+            flags
+                .entry_share
+                .map_or(ENTRY_SHARES, |share| (share, share))
+        }),
         routes: (routes / SIZE_RANGE, routes),
         ack: ACK,
         apply: APPLY,
@@ -158,6 +165,15 @@
         recovery(report.recovered_in),
         report.findings.len()
     );
+    println!("  first_served_ms={}", recovery(report.first_served));
+    for (class, used) in &report.shares {
+        println!(
+            "  {class}: shares used up in {} of {} periods, {:.3} cores",
+            used.used_up,
+            used.periods,
+            used.cores()
+        );
+    }
     print_findings(&report.findings, report.logs.as_deref())
 }
 
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -2,11 +2,14 @@
 
 use std::fs::{self, File};
 use std::io;
+use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::process::{ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::io::Errno;
+use rustix::process::{Pid, PidfdFlags, Signal, pidfd_open, pidfd_send_signal};
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
@@ -21,7 +24,61 @@
 #[derive(Debug, Default)]
 pub(crate) struct Process {
     child: Option<Child>,
+    handle: Handle,
+}
+
+/// A process that runs, and why it is stopped, if it is.
+#[derive(Debug, Default)]
+struct Running {
+    id: Option<(Pid, OwnedFd)>,
+    /// By the schedule of faults.
     frozen: bool,
+    /// As its share of processor time is used up.
+    held: bool,
+}
+
+/// Stops and continues a process, also while its lock is held to wait for its end.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Handle(Arc<Mutex<Running>>);
+
+impl Handle {
+    fn running(&self) -> MutexGuard<'_, Running> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn id(&self) -> Option<Pid> {
+        self.running().id.as_ref().map(|(id, _)| *id)
+    }
+
+    /// Stops it for its share, or ends this. A frozen process stays stopped.
+    pub(crate) fn hold(&self, held: bool) -> io::Result<()> {
+        self.change(|running| running.held = held)
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Running)) -> io::Result<()> {
+        let mut running = self.running();
+        let stopped = running.frozen || running.held;
+        change(&mut running);
+        match (stopped, running.frozen || running.held) {
+            (false, true) => running.signal(Signal::STOP),
+            (true, false) => running.signal(Signal::CONT),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Running {
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        let sent = self
+            .id
+            .as_ref()
+            .map(|(_, fd)| pidfd_send_signal(fd, signal));
+        match sent {
+            // Its end is noted elsewhere.
+            None | Some(Ok(()) | Err(Errno::SRCH)) => Ok(()),
+            Some(Err(error)) => Err(error.into()),
+        }
+    }
 }
 
 impl Process {
@@ -42,8 +99,13 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
+        let id = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
+        let id = id.map(|id| Ok::<_, Errno>((id, pidfd_open(id, PidfdFlags::empty())?)));
+        *self.handle.running() = Running {
+            id: id.transpose()?,
+            ..Running::default()
+        };
         self.child = Some(child);
-        self.frozen = false;
         Ok(())
     }
 
@@ -54,7 +116,7 @@
 
     /// True while it runs and is not frozen.
     pub(crate) fn is_up(&self) -> bool {
-        self.child.is_some() && !self.frozen
+        self.child.is_some() && !self.handle.running().frozen
     }
 
     /// Sends SIGKILL and does not wait.
@@ -64,11 +126,12 @@
 
     /// Sends SIGKILL and waits for the end.
     pub(crate) async fn kill(&mut self) -> io::Result<()> {
-        self.frozen = false;
-        match self.child.take() {
-            Some(mut child) => child.kill().await,
-            None => Ok(()),
-        }
+        let Some(mut child) = self.child.take() else {
+            return Ok(());
+        };
+        let killed = child.kill().await;
+        self.clear();
+        killed
     }
 
     /// Sends SIGTERM, and SIGKILL if it is still there after the grace period.
@@ -79,13 +142,21 @@
         {
             child.kill().await?;
         }
-        self.child = None;
+        self.clear();
         Ok(())
     }
 
+    fn clear(&mut self) {
+        self.child = None;
+        *self.handle.running() = Running::default();
+    }
+
+    pub(crate) fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
     pub(crate) fn freeze(&mut self, frozen: bool) -> io::Result<()> {
-        self.frozen = frozen;
-        self.signal(if frozen { Signal::STOP } else { Signal::CONT })
+        self.handle.change(|running| running.frozen = frozen)
     }
 
     /// How it ended, if it has ended by itself since the last look.
@@ -93,17 +164,12 @@
         let status = self.child.as_mut().map(Child::try_wait).transpose()?;
         let status = status.flatten();
         if status.is_some() {
-            self.child = None;
+            self.clear();
         }
         Ok(status)
     }
 
     pub(crate) fn signal(&self, signal: Signal) -> io::Result<()> {
-        let id = self.child.as_ref().and_then(Child::id);
-        let id = id.and_then(|id| Pid::from_raw(id.cast_signed()));
-        match id {
-            Some(id) => Ok(kill_process(id, signal)?),
-            None => Ok(()),
-        }
+        self.handle.running().signal(signal)
     }
 }
