Let the soak's load fall once all is healed

`--then N` sends N jobs a second from the end of the faults on, to see whether an overload outlasts its cause: `recovered_ms` is the time until four fifths are served again. Jobs are skipped when the soak is more than 5 ms late, as before.

--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -42,6 +42,8 @@
         optional --agents count: u8
         /// Number of jobs a second; default 90.
         optional --per-second count: u32
+        /// Number of jobs a second once all are healed; default: as before.
+        optional --then count: u32
         /// Kinds of jobs: own, or users, as the users' largest site has them; default own.
         optional --mix mix: Mix
         /// Holds each process to its share of processor time.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -12,7 +12,7 @@
 
 use std::io;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -63,6 +63,8 @@
     pub cuts: bool,
     /// Number of jobs a second.
     pub per_second: u32,
+    /// Number of jobs a second once all are healed.
+    pub then: u32,
     /// Kinds of jobs.
     pub mix: Mix,
     /// Smallest and largest share of an entry, in thousandths of a core, if each process is held to its
@@ -95,6 +97,8 @@
     pub sent: usize,
     /// Number of those that were answered with success.
     pub served: usize,
+    /// Served and finished jobs of the last seconds.
+    pub last: (usize, usize),
     /// Number of runs that backend servers began.
     pub starts: usize,
     /// Number of acknowledged changes.
@@ -131,6 +135,8 @@
     documents: Documents,
     ledger: Mutex<Ledger>,
     caller: Caller,
+    /// Number of jobs a second.
+    rate: AtomicU32,
     tally: Tally,
     rotations: Vec<Rotation>,
     stalls: Stalls,
@@ -229,6 +235,7 @@
             documents,
             ledger: Mutex::new(Ledger::new(documents)),
             caller: Caller::at(layout.bind_ip(callers)),
+            rate: AtomicU32::new(options.per_second),
             tally: Tally::default(),
             rotations: options
                 .sizes
@@ -294,6 +301,7 @@
             sleep(self.options.length).await;
         }
         let healed = Instant::now();
+        self.rate.store(self.options.then, Ordering::Relaxed);
         self.note("all healed");
         if !self.wait_until_up(healed).await {
             return None;
@@ -350,6 +358,11 @@
             let (finished_after, served_after) = count();
             let (finished, served) = (finished_after - finished, served_after - served);
             self.note(&format!("{served} of {finished} jobs served"));
+            *self
+                .tally
+                .last
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = (served, finished);
             if finished > 0 && served * 5 >= finished * 4 {
                 return true;
             }
@@ -381,6 +394,11 @@
             seed: self.seed,
             sent: self.tally.sent.load(Ordering::Relaxed),
             served: self.tally.all_served.load(Ordering::Relaxed),
+            last: *self
+                .tally
+                .last
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner),
             starts: self.judge.starts(),
             acknowledged: ledger.acknowledgements(),
             stalls: self.stalls.count(),
--- a/soak/src/fleet/callers.rs
+++ b/soak/src/fleet/callers.rs
@@ -1,8 +1,8 @@
 //! Callers: they submit jobs, send again what got no answer, and ask for the state of stored jobs.
 
 use std::str::FromStr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::document::{HOST, QUEUE};
 use crate::fleet::Shared;
@@ -40,6 +40,8 @@
 /// Without a common factor with `USERS_JOBS`, so that equal jobs do not follow each other.
 const USERS_STRIDE: u64 = 617;
 
+/// Jobs that are later than this are skipped.
+const LATE: Duration = Duration::from_millis(5);
 /// Number of a job with eight short tasks, and the pause before it is submitted again, from the start
 /// until one is served.
 const FIRST: u64 = 2;
@@ -97,6 +99,8 @@
     /// All jobs that were answered with success.
     pub(crate) all_served: AtomicUsize,
     pub(crate) sent: AtomicUsize,
+    /// Served and finished jobs of the last window.
+    pub(crate) last: Mutex<(usize, usize)>,
 }
 
 /// Readiness of an entry, as the platform sees it.
@@ -169,11 +173,16 @@
 /// Sends jobs at a steady rate until its task is aborted.
 pub(crate) async fn call(shared: Arc<Shared>) {
     let mut rng = Pcg64::seed_from_u64(shared.seed.rotate_left(24));
-    let mut ticks = interval(Duration::from_secs(1) / shared.options.per_second);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut next = Instant::now();
     let mut jobs = JoinSet::new();
     for number in 0.. {
-        ticks.tick().await;
+        sleep_until(next).await;
+        let gap = Duration::from_secs(1) / shared.rate.load(Ordering::Relaxed).max(1);
+        next += gap;
+        let now = Instant::now();
+        if next + LATE < now {
+            next = now;
+        }
         while jobs.try_join_next().is_some() {}
         let job = Job::new(shared.options.mix, number, &mut rng);
         let entry = rng.random_range(0..usize::MAX / 2);
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -96,6 +96,7 @@
         faults: !flags.no_faults,
         cuts: !flags.no_cuts,
         per_second: flags.per_second.unwrap_or(90),
+        then: flags.then.or(flags.per_second).unwrap_or(90),
         mix: flags.mix.unwrap_or_default(),
         shares: flags.shares.then(|| {
             flags
@@ -165,7 +166,11 @@
         recovery(report.recovered_in),
         report.findings.len()
     );
-    println!("  first_served_ms={}", recovery(report.first_served));
+    let (served, finished) = report.last;
+    println!(
+        "  first_served_ms={} served_at_the_end={served} of {finished}",
+        recovery(report.first_served)
+    );
     for (class, used) in &report.shares {
         println!(
             "  {class}: shares used up in {} of {} periods, {:.3} cores",
