Report both halves of the soak by one type

The group's and the deployment's half each had a report, a way to keep logs and a way to print. One report has the counts as text, the findings, the trace and the logs' directory; the ledger makes it and keeps the trace.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -10,9 +10,10 @@
 mod server;
 mod shares;
 
+use std::fmt::Write;
 use std::io;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -30,15 +31,14 @@
 use crate::fleet::judge::Judge;
 use crate::fleet::layout::{Class, Host, Layout};
 use crate::fleet::server::Server;
-use crate::fleet::shares::Keeper;
-use crate::ledger::Ledger;
+use crate::fleet::shares::{Keeper, Uses};
+use crate::ledger::{Ledger, Report};
 use crate::process::{LOG, Process, SETTINGS};
-use crate::run::{IoSnafu, SoakError};
+use crate::run::{IoSnafu, SoakError, millis};
 use crate::stalls::Stalls;
 
 pub use callers::Mix;
 pub use layout::Sizes;
-pub use shares::ShareUse;
 
 /// Number of operators that send at the same time.
 const OPERATORS: u64 = 2;
@@ -88,37 +88,6 @@
     pub keep: bool,
 }
 
-/// What a run did and found.
-#[derive(Debug)]
-pub struct FleetReport {
-    /// Seed of the schedule, the configurations and the jobs.
-    pub seed: u64,
-    /// Number of transient jobs that were sent.
-    pub sent: usize,
-    /// Number of those that were answered with success.
-    pub served: usize,
-    /// Served and finished jobs of the last seconds.
-    pub last: (usize, usize),
-    /// Number of runs that backend servers began.
-    pub starts: usize,
-    /// Number of acknowledged changes.
-    pub acknowledged: usize,
-    /// Number of times at which the machine stood still.
-    pub stalls: usize,
-    /// Time from the start of the first process until a job was served.
-    pub first_served: Option<Duration>,
-    /// Names of classes, and the use of their shares, if processes are held to them.
-    pub shares: Vec<(String, ShareUse)>,
-    /// Time from the last fault until all were up and the callers were served.
-    pub recovered_in: Option<Duration>,
-    /// Violations; empty in a run that held.
-    pub findings: Vec<String>,
-    /// What was done, one line a step, with seconds from the start.
-    pub trace: String,
-    /// Directory with logs and trace, if they are kept.
-    pub logs: Option<PathBuf>,
-}
-
 /// What the tasks of a run share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -147,7 +116,7 @@
 /// # Errors
 ///
 /// A process cannot be started or a file cannot be written.
-pub async fn run_fleet(options: FleetOptions, seed: u64) -> Result<FleetReport, SoakError> {
+pub async fn run_fleet(options: FleetOptions, seed: u64) -> Result<Report, SoakError> {
     let shared = Arc::new(Shared::new(options, seed).context(IoSnafu { what: "set up" })?);
     let opened = shared.layout.open().await;
     opened.context(IoSnafu { what: "proxy" })?;
@@ -192,15 +161,8 @@
         server.settle();
     }
     backends.shutdown().await;
-    let report = shared.report(recovered_in)?;
-    Ok(FleetReport {
-        first_served,
-        shares: uses
-            .into_iter()
-            .map(|(class, used)| (class.to_string(), used))
-            .collect(),
-        ..report
-    })
+    let report = shared.report(recovered_in, first_served, &uses);
+    report.context(IoSnafu { what: "logs" })
 }
 
 impl Shared {
@@ -376,50 +338,49 @@
         }
     }
 
-    fn report(&self, recovered_in: Option<Duration>) -> Result<FleetReport, SoakError> {
+    fn report(
+        &self,
+        recovered_in: Option<Duration>,
+        first_served: Option<Duration>,
+        uses: &Uses,
+    ) -> io::Result<Report> {
         for doubled in self.judge.doubled() {
             self.find(doubled);
         }
         let ledger = self.ledger();
-        let mut logs = None;
-        if let Some(directory) = &self.options.logs
-            && (self.options.keep || !ledger.findings().is_empty())
-        {
-            let target = directory.join(format!("fleet-{}", self.seed));
-            self.keep_logs(&target, ledger.trace())
-                .context(IoSnafu { what: "logs" })?;
-            logs = Some(target);
+        let load = |count: &AtomicUsize| count.load(Ordering::Relaxed);
+        let (served, finished) = *self
+            .tally
+            .last
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut counts = format!(
+            "sent={} served={} served_at_the_end={served} of {finished} starts={} acknowledged={} \
+             stalls={} first_served_ms={} recovered_ms={}",
+            load(&self.tally.sent),
+            load(&self.tally.all_served),
+            self.judge.starts(),
+            ledger.acknowledgements(),
+            self.stalls.count(),
+            millis(first_served),
+            millis(recovered_in),
+        );
+        for (class, used) in uses {
+            // Writing to a string does not fail.
+            let _ = write!(counts, " {class}: {used}");
         }
-        Ok(FleetReport {
-            seed: self.seed,
-            sent: self.tally.sent.load(Ordering::Relaxed),
-            served: self.tally.all_served.load(Ordering::Relaxed),
-            last: *self
-                .tally
-                .last
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner),
-            starts: self.judge.starts(),
-            acknowledged: ledger.acknowledgements(),
-            stalls: self.stalls.count(),
-            first_served: None,
-            shares: Vec::new(),
-            recovered_in,
-            findings: ledger.findings().to_vec(),
-            trace: ledger.trace().to_owned(),
-            logs,
-        })
-    }
-
-    fn keep_logs(&self, target: &std::path::Path, trace: &str) -> io::Result<()> {
-        std::fs::create_dir_all(target)?;
-        for (host, _) in &self.processes {
-            for file in [LOG, SETTINGS] {
-                let from = self.home(*host).join(file);
-                std::fs::copy(from, target.join(format!("{host}.{file}")))?;
+        let target = self.options.logs.as_ref();
+        let target = target.map(|logs| logs.join(format!("fleet-{}", self.seed)));
+        let copy = |target: &std::path::Path| {
+            for (host, _) in &self.processes {
+                for file in [LOG, SETTINGS] {
+                    let from = self.home(*host).join(file);
+                    std::fs::copy(from, target.join(format!("{host}.{file}")))?;
+                }
             }
-        }
-        std::fs::write(target.join("trace"), trace)
+            Ok(())
+        };
+        ledger.report(self.seed, counts, target, self.options.keep, copy)
     }
 }
 
--- a/soak/src/fleet/shares.rs
+++ b/soak/src/fleet/shares.rs
@@ -1,6 +1,7 @@
 //! Holds each process to its share of processor time: once it has used its quota of a period, it is
 //! stopped until the period ends.
 
+use std::fmt;
 use std::fs;
 use std::io;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -25,21 +26,23 @@
 
 /// Use of their shares by the processes of a class.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct ShareUse {
+pub(crate) struct ShareUse {
     /// Periods in which a process was there.
-    pub periods: u64,
+    periods: u32,
     /// Those of them in which it was stopped.
-    pub used_up: u64,
+    used_up: u32,
     /// Processor time of all.
-    pub time: Duration,
+    time: Duration,
 }
 
-impl ShareUse {
-    /// Mean processor time of a process, in cores.
-    #[must_use]
-    pub fn cores(&self) -> f64 {
-        let periods = u32::try_from(self.periods.max(1)).unwrap_or(u32::MAX);
-        self.time.as_secs_f64() / (PERIOD * periods).as_secs_f64()
+impl fmt::Display for ShareUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (used_up, periods) = (self.used_up, self.periods);
+        let cores = self.time.as_secs_f64() / (PERIOD * periods.max(1)).as_secs_f64();
+        write!(
+            f,
+            "shares used up in {used_up} of {periods} periods, {cores:.3} cores"
+        )
     }
 }
 
@@ -148,8 +151,8 @@
         while self.ends <= now {
             self.ends += PERIOD;
             self.base = used.min(self.base + self.quota);
-            total.periods += u64::from(id.is_some());
-            total.used_up += u64::from(self.used_up);
+            total.periods += u32::from(id.is_some());
+            total.used_up += u32::from(self.used_up);
             self.used_up = false;
         }
         let left = self.quota.saturating_sub(used.saturating_sub(self.base));
--- a/soak/src/ledger.rs
+++ b/soak/src/ledger.rs
@@ -1,10 +1,28 @@
 //! What the operators were told, and checks of what they read against it.
 
 use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use crate::document::{self, Documents};
 
+/// What a run did and found.
+#[derive(Debug)]
+pub struct Report {
+    /// Seed of the schedule, the configurations and the jobs.
+    pub seed: u64,
+    /// What was counted and measured.
+    pub counts: String,
+    /// Violations; empty in a run that held.
+    pub findings: Vec<String>,
+    /// What was done, one line a step, with seconds from the start.
+    pub trace: String,
+    /// Directory with logs and trace, if they are kept.
+    pub logs: Option<PathBuf>,
+}
+
 /// What is known of a version that was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fate {
@@ -129,11 +147,28 @@
         self.last_read
     }
 
-    pub(crate) fn findings(&self) -> &[String] {
-        &self.findings
-    }
-
-    pub(crate) fn trace(&self) -> &str {
-        &self.trace
+    /// Ends a run. If there are findings, or `always`, its trace is kept in `target`, and `copy` puts
+    /// the processes' logs there.
+    pub(crate) fn report(
+        &self,
+        seed: u64,
+        counts: String,
+        target: Option<PathBuf>,
+        always: bool,
+        copy: impl FnOnce(&Path) -> io::Result<()>,
+    ) -> io::Result<Report> {
+        let logs = target.filter(|_| always || !self.findings.is_empty());
+        if let Some(target) = &logs {
+            fs::create_dir_all(target)?;
+            copy(target)?;
+            fs::write(target.join("trace"), &self.trace)?;
+        }
+        Ok(Report {
+            seed,
+            counts,
+            findings: self.findings.clone(),
+            trace: self.trace.clone(),
+            logs,
+        })
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,10 +18,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-pub use fleet::{FleetOptions, FleetReport, Mix, ShareUse, Sizes, run_fleet};
+pub use fleet::{FleetOptions, Mix, Sizes, run_fleet};
+pub use ledger::Report;
 pub use proxy::{Path, Proxy};
 pub use regressions::{REGRESSIONS, Regression};
-pub use run::{Report, SoakError, run};
+pub use run::{SoakError, run};
 
 /// What a run does.
 #[derive(Debug, Clone)]
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,12 +2,11 @@
 
 mod flags;
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use fulmardrift_soak::{
-    FleetOptions, FleetReport, Options, REGRESSIONS, Report, Sizes, SoakError, run, run_fleet,
+    FleetOptions, Options, REGRESSIONS, Report, Sizes, SoakError, run, run_fleet,
 };
 use tokio::task::JoinSet;
 
@@ -43,7 +42,7 @@
         let options = fleet_options(&flags, &options);
         let run = |seed| {
             let options = options.clone();
-            async move { print_fleet(run_fleet(options, seed).await) }
+            async move { print(run_fleet(options, seed).await) }
         };
         return run_all(seeds.map(run).collect(), groups).await;
     }
@@ -59,7 +58,7 @@
             length,
             ..options.clone()
         };
-        async move { print_report(run(options, seed).await) }
+        async move { print(run(options, seed).await) }
     };
     run_all(runs.into_iter().map(run).collect(), groups).await
 }
@@ -147,7 +146,7 @@
     }
 }
 
-fn print_fleet(ended: Result<FleetReport, SoakError>) -> bool {
+fn print(ended: Result<Report, SoakError>) -> bool {
     let report = match ended {
         Ok(report) => report,
         Err(error) => {
@@ -155,65 +154,13 @@
             return false;
         }
     };
-    println!(
-        "seed {}: sent={} served={} starts={} acknowledged={} stalls={} recovered_ms={} findings={}",
-        report.seed,
-        report.sent,
-        report.served,
-        report.starts,
-        report.acknowledged,
-        report.stalls,
-        recovery(report.recovered_in),
-        report.findings.len()
-    );
-    let (served, finished) = report.last;
-    println!(
-        "  first_served_ms={} served_at_the_end={served} of {finished}",
-        recovery(report.first_served)
-    );
-    for (class, used) in &report.shares {
-        println!(
-            "  {class}: shares used up in {} of {} periods, {:.3} cores",
-            used.used_up,
-            used.periods,
-            used.cores()
-        );
-    }
-    print_findings(&report.findings, report.logs.as_deref())
-}
-
-fn recovery(time: Option<Duration>) -> String {
-    time.map_or("never".to_owned(), |time| time.as_millis().to_string())
-}
-
-fn print_findings(findings: &[String], logs: Option<&Path>) -> bool {
-    for finding in findings {
+    let (seed, found) = (report.seed, report.findings.len());
+    println!("seed {seed}: {} findings={found}", report.counts);
+    for finding in &report.findings {
         println!("  {finding}");
     }
-    if let Some(logs) = logs {
+    if let Some(logs) = report.logs {
         println!("  logs in {}", logs.display());
     }
-    findings.is_empty()
-}
-
-fn print_report(ended: Result<Report, SoakError>) -> bool {
-    let report = match ended {
-        Ok(report) => report,
-        Err(error) => {
-            println!("cannot run: {error}");
-            return false;
-        }
-    };
-    println!(
-        "seed {}: acknowledged={} refused={} reads={} longest_gap_ms={} stalls={} recovered_ms={} findings={}",
-        report.seed,
-        report.acknowledged,
-        report.refused,
-        report.reads,
-        report.longest_gap.as_millis(),
-        report.stalls,
-        recovery(report.recovered_in),
-        report.findings.len()
-    );
-    print_findings(&report.findings, report.logs.as_deref())
+    found == 0
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,7 +1,6 @@
 //! One run: a group, its operators and the schedule of one seed.
 
 use std::io;
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,7 +16,7 @@
 use crate::client::{Answer, Caller};
 use crate::document::Documents;
 use crate::group::Group;
-use crate::ledger::Ledger;
+use crate::ledger::{Ledger, Report};
 use crate::plan::{self, Action};
 use crate::stalls::Stalls;
 
@@ -54,31 +53,6 @@
     },
 }
 
-/// What a run did and found.
-#[derive(Debug)]
-pub struct Report {
-    /// Seed of the schedule and of the configurations.
-    pub seed: u64,
-    /// Number of acknowledged changes.
-    pub acknowledged: usize,
-    /// Number of refused changes.
-    pub refused: usize,
-    /// Number of successful reads.
-    pub reads: usize,
-    /// Longest time between two successful reads.
-    pub longest_gap: Duration,
-    /// Number of times at which the machine stood still.
-    pub stalls: usize,
-    /// Time from the last start to the first read after it.
-    pub recovered_in: Option<Duration>,
-    /// Violations; empty in a run that held.
-    pub findings: Vec<String>,
-    /// What was done, one line a step, with seconds from the start.
-    pub trace: String,
-    /// Directory with logs and trace, if there are findings.
-    pub logs: Option<PathBuf>,
-}
-
 /// What the tasks of a run share.
 #[derive(Debug)]
 struct Shared {
@@ -143,28 +117,25 @@
     let mut group = shared.group.lock().await;
     group.kill_all().await.context(IoSnafu { what: "stop" })?;
     let ledger = shared.ledger();
-    let mut logs = None;
-    if let Some(directory) = &shared.options.logs
-        && !ledger.findings().is_empty()
-    {
-        let target = directory.join(format!("seed-{}", shared.seed));
-        std::fs::create_dir_all(&target).context(IoSnafu { what: "logs" })?;
-        group.keep_logs(&target).context(IoSnafu { what: "logs" })?;
-        std::fs::write(target.join("trace"), ledger.trace()).context(IoSnafu { what: "logs" })?;
-        logs = Some(target);
-    }
-    Ok(Report {
-        seed: shared.seed,
-        acknowledged: ledger.acknowledgements(),
-        refused: ledger.refusals(),
-        reads: ledger.reads,
-        longest_gap: ledger.longest_gap,
-        stalls: shared.stalls.count(),
-        recovered_in,
-        findings: ledger.findings().to_vec(),
-        trace: ledger.trace().to_owned(),
-        logs,
-    })
+    let counts = format!(
+        "acknowledged={} refused={} reads={} longest_gap_ms={} stalls={} recovered_ms={}",
+        ledger.acknowledgements(),
+        ledger.refusals(),
+        ledger.reads,
+        ledger.longest_gap.as_millis(),
+        shared.stalls.count(),
+        millis(recovered_in),
+    );
+    let target = shared.options.logs.as_ref();
+    let target = target.map(|logs| logs.join(format!("seed-{}", shared.seed)));
+    let copy = |target: &std::path::Path| group.keep_logs(target);
+    let report = ledger.report(shared.seed, counts, target, false, copy);
+    report.context(IoSnafu { what: "logs" })
+}
+
+/// A measured time for a report.
+pub(crate) fn millis(time: Option<Duration>) -> String {
+    time.map_or("never".to_owned(), |time| time.as_millis().to_string())
 }
 
 /// Carries out the schedule, then loses a disk right after an acknowledgement while all processes
