--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -140,7 +140,11 @@
         started.context(IoSnafu { what: "start" })?;
     }
     let mut tasks = JoinSet::new();
-    tasks.spawn(watch_machine(Arc::clone(&shared)));
+    let machine = Arc::clone(&shared);
+    tasks.spawn(async move {
+        let probe = machine.directory.path().join("probe");
+        machine.stalls.watch(probe, &machine.ledger).await;
+    });
     tasks.spawn(Arc::clone(&shared).watch());
     for number in 0..shared.rotations.len() {
         tasks.spawn(callers::check(Arc::clone(&shared), number));
@@ -383,12 +387,3 @@
         ledger.report(self.seed, counts, target, self.options.keep, copy)
     }
 }
-
-async fn watch_machine(shared: Arc<Shared>) {
-    let note = |took: Duration| {
-        let millis = took.as_millis();
-        shared.note(&format!("the machine stood still for {millis} ms"));
-    };
-    let probe = shared.directory.path().join("probe");
-    shared.stalls.watch(probe, note).await;
-}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -99,7 +99,11 @@
         seed,
     });
     let mut watchers = JoinSet::new();
-    watchers.spawn(watch_machine(Arc::clone(&shared)));
+    let machine = Arc::clone(&shared);
+    watchers.spawn(async move {
+        let probe = machine.group.lock().await.probe_file();
+        machine.stalls.watch(probe, &machine.ledger).await;
+    });
     watchers.spawn(watch_processes(Arc::clone(&shared)));
     watchers.spawn(read(Arc::clone(&shared)));
     let mut operators = JoinSet::new();
@@ -422,17 +426,6 @@
     }
 }
 
-async fn watch_machine(shared: Arc<Shared>) {
-    let path = shared.group.lock().await.probe_file();
-    let note = |took: Duration| {
-        let millis = took.as_millis();
-        shared
-            .ledger()
-            .note(&format!("the machine stood still for {millis} ms"));
-    };
-    shared.stalls.watch(path, note).await;
-}
-
 /// Restarts processes that end by themselves, and watches the size of their files.
 async fn watch_processes(shared: Arc<Shared>) {
     loop {
--- a/soak/src/stalls.rs
+++ b/soak/src/stalls.rs
@@ -9,6 +9,8 @@
 use tokio::task::spawn_blocking;
 use tokio::time::{Instant, sleep};
 
+use crate::ledger::Ledger;
+
 /// Pause between two probes.
 const PROBE_PAUSE: Duration = Duration::from_millis(100);
 /// A probe that takes longer shows a stall: sessions are closed after less.
@@ -71,8 +73,8 @@
         Ok(())
     }
 
-    /// Writes to a file and syncs it, again and again; calls `on_stall` after each stall.
-    pub(crate) async fn watch(&self, path: PathBuf, on_stall: impl Fn(Duration)) {
+    /// Writes to a file and syncs it, again and again; notes each stall.
+    pub(crate) async fn watch(&self, path: PathBuf, ledger: &Mutex<Ledger>) {
         loop {
             sleep(PROBE_PAUSE).await;
             let path = path.clone();
@@ -89,7 +91,9 @@
                 took
             };
             if took > STALL || !matches!(written, Ok(Ok(()))) {
-                on_stall(took);
+                let millis = took.as_millis();
+                let mut ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
+                ledger.note(&format!("the machine stood still for {millis} ms"));
             }
         }
     }
