--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -4,6 +4,8 @@
 
 use std::path::PathBuf;
 
+use fulmardrift_soak::Mix;
+
 xflags::xflags! {
     /// Plays seeded faults against control groups, or whole deployments, of real processes.
     cmd soak {
@@ -40,6 +42,14 @@
         optional --agents count: u8
         /// Number of jobs a second; default 90.
         optional --per-second count: u32
+        /// Number of jobs a second once all are healed; default: as before.
+        optional --then count: u32
+        /// Kinds of jobs: own, or users, as the users' largest site has them; default own.
+        optional --mix mix: Mix
+        /// Holds each process to its share of processor time.
+        optional --shares
+        /// Share of an entry, in thousandths of a core; default: 90 to 300, drawn for each entry.
+        optional --entry-share share: u32
         /// Plays no faults.
         optional --no-faults
         /// Keeps the logs of all runs.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -8,10 +8,12 @@
 mod operate;
 mod plan;
 mod server;
+mod shares;
 
+use std::fmt::Write;
 use std::io;
 use std::path::PathBuf;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,11 +31,13 @@
 use crate::fleet::judge::Judge;
 use crate::fleet::layout::{Class, Host, Layout};
 use crate::fleet::server::Server;
-use crate::ledger::Ledger;
+use crate::fleet::shares::{Keeper, Uses};
+use crate::ledger::{Ledger, Report};
 use crate::process::{LOG, Process, SETTINGS};
-use crate::run::{IoSnafu, SoakError};
+use crate::run::{IoSnafu, SoakError, millis};
 use crate::stalls::Stalls;
 
+pub use callers::Mix;
 pub use layout::Sizes;
 
 /// Number of operators that send at the same time.
@@ -59,6 +63,13 @@
     pub cuts: bool,
     /// Number of jobs a second.
     pub per_second: u32,
+    /// Number of jobs a second once all are healed.
+    pub then: u32,
+    /// Kinds of jobs.
+    pub mix: Mix,
+    /// Smallest and largest share of an entry, in thousandths of a core, if each process is held to its
+    /// share of processor time.
+    pub shares: Option<(u32, u32)>,
     /// Smallest and largest number of routes in a configuration, besides those for the jobs.
     pub routes: (u32, u32),
     /// Time after which a change is acknowledged while the control group is whole.
@@ -77,31 +88,6 @@
     pub keep: bool,
 }
 
-/// What a run did and found.
-#[derive(Debug)]
-pub struct FleetReport {
-    /// Seed of the schedule, the configurations and the jobs.
-    pub seed: u64,
-    /// Number of transient jobs that were sent.
-    pub sent: usize,
-    /// Number of those that were answered with success.
-    pub served: usize,
-    /// Number of runs that backend servers began.
-    pub starts: usize,
-    /// Number of acknowledged changes.
-    pub acknowledged: usize,
-    /// Number of times at which the machine stood still.
-    pub stalls: usize,
-    /// Time from the last fault until all were up and the callers were served.
-    pub recovered_in: Option<Duration>,
-    /// Violations; empty in a run that held.
-    pub findings: Vec<String>,
-    /// What was done, one line a step, with seconds from the start.
-    pub trace: String,
-    /// Directory with logs and trace, if they are kept.
-    pub logs: Option<PathBuf>,
-}
-
 /// What the tasks of a run share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -118,6 +104,8 @@
     documents: Documents,
     ledger: Mutex<Ledger>,
     caller: Caller,
+    /// Number of jobs a second.
+    rate: AtomicU32,
     tally: Tally,
     rotations: Vec<Rotation>,
     stalls: Stalls,
@@ -128,7 +116,7 @@
 /// # Errors
 ///
 /// A process cannot be started or a file cannot be written.
-pub async fn run_fleet(options: FleetOptions, seed: u64) -> Result<FleetReport, SoakError> {
+pub async fn run_fleet(options: FleetOptions, seed: u64) -> Result<Report, SoakError> {
     let shared = Arc::new(Shared::new(options, seed).context(IoSnafu { what: "set up" })?);
     let opened = shared.layout.open().await;
     opened.context(IoSnafu { what: "proxy" })?;
@@ -137,19 +125,38 @@
         server.spawn(&mut backends);
     }
     backends.spawn(server::tick(shared.servers.clone()));
+    let began = Instant::now();
+    let keeper = if let Some(entry) = shared.options.shares {
+        let mut handles = Vec::new();
+        for (host, process) in &shared.processes {
+            handles.push((*host, process.lock().await.handle()));
+        }
+        Some(Keeper::start(seed, entry, handles))
+    } else {
+        None
+    };
     for host in shared.layout.sizes.processes() {
         let started = shared.start(host, true).await;
         started.context(IoSnafu { what: "start" })?;
     }
     let mut tasks = JoinSet::new();
-    tasks.spawn(watch_machine(Arc::clone(&shared)));
+    let machine = Arc::clone(&shared);
+    tasks.spawn(async move {
+        let probe = machine.directory.path().join("probe");
+        machine.stalls.watch(probe, &machine.ledger).await;
+    });
     tasks.spawn(Arc::clone(&shared).watch());
     for number in 0..shared.rotations.len() {
         tasks.spawn(callers::check(Arc::clone(&shared), number));
     }
+    let first = tokio::spawn(callers::first(Arc::clone(&shared), began));
     let recovered_in = shared.play_all(&mut tasks).await;
     tasks.shutdown().await;
+    first.abort();
+    let first_served = first.await.ok();
     shared.find_ended();
+    let uses = keeper.map_or(Ok(Vec::new()), Keeper::stop);
+    let uses = uses.context(IoSnafu { what: "shares" })?;
     for (_, process) in &shared.processes {
         let killed = process.lock().await.kill().await;
         killed.context(IoSnafu { what: "stop" })?;
@@ -158,7 +165,8 @@
         server.settle();
     }
     backends.shutdown().await;
-    shared.report(recovered_in)
+    let report = shared.report(recovered_in, first_served, &uses);
+    report.context(IoSnafu { what: "logs" })
 }
 
 impl Shared {
@@ -193,6 +201,7 @@
             documents,
             ledger: Mutex::new(Ledger::new(documents)),
             caller: Caller::at(layout.bind_ip(callers)),
+            rate: AtomicU32::new(options.per_second),
             tally: Tally::default(),
             rotations: options
                 .sizes
@@ -258,6 +267,7 @@
             sleep(self.options.length).await;
         }
         let healed = Instant::now();
+        self.rate.store(self.options.then, Ordering::Relaxed);
         self.note("all healed");
         if !self.wait_until_up(healed).await {
             return None;
@@ -314,6 +324,11 @@
             let (finished_after, served_after) = count();
             let (finished, served) = (finished_after - finished, served_after - served);
             self.note(&format!("{served} of {finished} jobs served"));
+            *self
+                .tally
+                .last
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = (served, finished);
             if finished > 0 && served * 5 >= finished * 4 {
                 return true;
             }
@@ -327,51 +342,48 @@
         }
     }
 
-    fn report(&self, recovered_in: Option<Duration>) -> Result<FleetReport, SoakError> {
+    fn report(
+        &self,
+        recovered_in: Option<Duration>,
+        first_served: Option<Duration>,
+        uses: &Uses,
+    ) -> io::Result<Report> {
         for doubled in self.judge.doubled() {
             self.find(doubled);
         }
         let ledger = self.ledger();
-        let mut logs = None;
-        if let Some(directory) = &self.options.logs
-            && (self.options.keep || !ledger.findings().is_empty())
-        {
-            let target = directory.join(format!("fleet-{}", self.seed));
-            self.keep_logs(&target, ledger.trace())
-                .context(IoSnafu { what: "logs" })?;
-            logs = Some(target);
+        let load = |count: &AtomicUsize| count.load(Ordering::Relaxed);
+        let (served, finished) = *self
+            .tally
+            .last
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut counts = format!(
+            "sent={} served={} served_at_the_end={served} of {finished} starts={} acknowledged={} \
+             stalls={} first_served_ms={} recovered_ms={}",
+            load(&self.tally.sent),
+            load(&self.tally.all_served),
+            self.judge.starts(),
+            ledger.acknowledgements(),
+            self.stalls.count(),
+            millis(first_served),
+            millis(recovered_in),
+        );
+        for (class, used) in uses {
+            // Writing to a string does not fail.
+            let _ = write!(counts, " {class}: {used}");
         }
-        Ok(FleetReport {
-            seed: self.seed,
-            sent: self.tally.sent.load(Ordering::Relaxed),
-            served: self.tally.all_served.load(Ordering::Relaxed),
-            starts: self.judge.starts(),
-            acknowledged: ledger.acknowledgements(),
-            stalls: self.stalls.count(),
-            recovered_in,
-            findings: ledger.findings().to_vec(),
-            trace: ledger.trace().to_owned(),
-            logs,
-        })
-    }
-
-    fn keep_logs(&self, target: &std::path::Path, trace: &str) -> io::Result<()> {
-        std::fs::create_dir_all(target)?;
-        for (host, _) in &self.processes {
-            for file in [LOG, SETTINGS] {
-                let from = self.home(*host).join(file);
-                std::fs::copy(from, target.join(format!("{host}.{file}")))?;
+        let target = self.options.logs.as_ref();
+        let target = target.map(|logs| logs.join(format!("fleet-{}", self.seed)));
+        let copy = |target: &std::path::Path| {
+            for (host, _) in &self.processes {
+                for file in [LOG, SETTINGS] {
+                    let from = self.home(*host).join(file);
+                    std::fs::copy(from, target.join(format!("{host}.{file}")))?;
+                }
             }
-        }
-        std::fs::write(target.join("trace"), trace)
+            Ok(())
+        };
+        ledger.report(self.seed, counts, target, self.options.keep, copy)
     }
 }
-
-async fn watch_machine(shared: Arc<Shared>) {
-    let note = |took: Duration| {
-        let millis = took.as_millis();
-        shared.note(&format!("the machine stood still for {millis} ms"));
-    };
-    let probe = shared.directory.path().join("probe");
-    shared.stalls.watch(probe, note).await;
-}
--- a/soak/src/fleet/callers.rs
+++ b/soak/src/fleet/callers.rs
@@ -1,7 +1,8 @@
 //! Callers: they submit jobs, send again what got no answer, and ask for the state of stored jobs.
 
-use std::sync::Arc;
+use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use rand_pcg::Pcg64;
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::document::{HOST, QUEUE};
 use crate::fleet::Shared;
@@ -34,6 +35,59 @@
 const TASK_CPU: u64 = 5_500;
 /// One in so many jobs is stored.
 const STORED_SHARE: u64 = 20;
+/// The users' mix repeats after so many jobs.
+const USERS_JOBS: u64 = 1_000;
+/// Without a common factor with `USERS_JOBS`, so that equal jobs do not follow each other.
+const USERS_STRIDE: u64 = 617;
+
+/// Jobs that are later than this are skipped.
+const LATE: Duration = Duration::from_millis(5);
+/// Number of a job with eight short tasks, and the pause before it is submitted again, from the start
+/// until one is served.
+const FIRST: u64 = 2;
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Kinds of jobs and their shares.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mix {
+    /// Includes jobs that cannot end before their deadline.
+    #[default]
+    Own,
+    /// The jobs of the users' largest site.
+    Users,
+}
+
+impl Mix {
+    /// Number of tasks of a transient job, and their time in ms.
+    fn tasks(self, number: u64) -> (u64, u64) {
+        match self {
+            Self::Own => match number % 17 {
+                0 if number.is_multiple_of(3) => (4, 3_600),
+                0 => (4, 1_700),
+                1 => (4, 900),
+                2..=4 => (8, 60),
+                _ => (2, 200),
+            },
+            Self::Users => match number * USERS_STRIDE % USERS_JOBS {
+                0..244 => (8, 60),
+                244..288 => (4, 900),
+                _ => (2, 200),
+            },
+        }
+    }
+}
+
+impl FromStr for Mix {
+    type Err = &'static str;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        match name {
+            "own" => Ok(Self::Own),
+            "users" => Ok(Self::Users),
+            _ => Err("not a mix: own or users"),
+        }
+    }
+}
 
 /// What the callers got.
 #[derive(Debug, Default)]
@@ -45,6 +99,8 @@
     /// All jobs that were answered with success.
     pub(crate) all_served: AtomicUsize,
     pub(crate) sent: AtomicUsize,
+    /// Served and finished jobs of the last window.
+    pub(crate) last: Mutex<(usize, usize)>,
 }
 
 /// Readiness of an entry, as the platform sees it.
@@ -88,22 +144,9 @@
 
 impl Job {
     /// The job of a number. Tasks of 1.7 s and 3.6 s cannot end before their deadline.
-    fn new(number: u64, rng: &mut Pcg64) -> Self {
+    fn new(mix: Mix, number: u64, rng: &mut Pcg64) -> Self {
         let stored = number % STORED_SHARE == 7;
-        let (tasks, work_ms) = match number % 17 {
-            _ if stored => (2, 200),
-            0 => (
-                4,
-                if number.is_multiple_of(3) {
-                    3_600
-                } else {
-                    1_700
-                },
-            ),
-            1 => (4, 900),
-            2..=4 => (8, 60),
-            _ => (2, 200),
-        };
+        let (tasks, work_ms) = if stored { (2, 200) } else { mix.tasks(number) };
         let first = if stored { STORED } else { '0' };
         let id: u64 = rng.random_range(0..1 << 60);
         Self {
@@ -130,13 +173,18 @@
 /// Sends jobs at a steady rate until its task is aborted.
 pub(crate) async fn call(shared: Arc<Shared>) {
     let mut rng = Pcg64::seed_from_u64(shared.seed.rotate_left(24));
-    let mut ticks = interval(Duration::from_secs(1) / shared.options.per_second);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut next = Instant::now();
     let mut jobs = JoinSet::new();
     for number in 0.. {
-        ticks.tick().await;
+        sleep_until(next).await;
+        let gap = Duration::from_secs(1) / shared.rate.load(Ordering::Relaxed).max(1);
+        next += gap;
+        let now = Instant::now();
+        if next + LATE < now {
+            next = now;
+        }
         while jobs.try_join_next().is_some() {}
-        let job = Job::new(number, &mut rng);
+        let job = Job::new(shared.options.mix, number, &mut rng);
         let entry = rng.random_range(0..usize::MAX / 2);
         if job.stored {
             jobs.spawn(Arc::clone(&shared).store(job, entry));
@@ -146,6 +194,22 @@
     }
 }
 
+/// Submits a job again and again until one is served, and returns the time since the start.
+pub(crate) async fn first(shared: Arc<Shared>, began: Instant) -> Duration {
+    let mut rng = Pcg64::seed_from_u64(!shared.seed.rotate_left(24));
+    loop {
+        let job = Job::new(Mix::Own, FIRST, &mut rng);
+        let posted = shared.post(&job, rng.random_range(0..usize::MAX / 2)).await;
+        if matches!(posted, Ok((StatusCode::OK, body)) if state(&body).as_deref() == Some("completed"))
+        {
+            let took = began.elapsed();
+            shared.note(&format!("first job served after {} ms", took.as_millis()));
+            return took;
+        }
+        sleep(FIRST_PAUSE).await;
+    }
+}
+
 impl Shared {
     /// Submits a transient job, and a second time if there was no answer.
     async fn submit(self: Arc<Self>, job: Job, entry: usize) {
