Offer a free place to one dispatcher at a time

Cause: when a run ended, the agent told all entries in one round that it used less. Each of them ordered a task for the same place; one was accepted, the others were denied, were placed elsewhere by equally old reports, and denied again, without any bound in proportion to first tries.

Change: the agent keeps the least number of places that were free since the last round of usage reports, and offers each of them to one dispatcher, in turn. A place that has just come free is left to the dispatcher whose run ended there, which learns that first. Reports of more usage go to all as before. No rule of starts is changed.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -147,7 +147,10 @@
     pub(crate) progress_reported_at: Millis,
     pub(crate) usage_reported_at: Millis,
     pub(crate) usage_report_due: bool,
-    // The dispatcher that was last told of the others' usage in its turn.
+    // The least number of free places since the last round of usage reports.
+    pub(crate) least_free: usize,
+    // The dispatchers that were last told in their turn that the others use less, and more.
+    pub(crate) last_offered: Option<Owner>,
     pub(crate) last_informed: Option<Owner>,
     pub(crate) ejection: Ejection,
     pub(crate) crash_log: CrashLog,
@@ -192,6 +195,8 @@
             progress_reported_at: Millis(0),
             usage_reported_at: Millis(0),
             usage_report_due: false,
+            least_free: 0,
+            last_offered: None,
             last_informed: None,
             ejection: Ejection::default(),
             crash_log: CrashLog::default(),
@@ -239,6 +244,7 @@
             ServerAgentInput::Replied(id, reply) => self.on_reply(now, id, reply, out),
             ServerAgentInput::Tick => self.tick(now, out),
         }
+        self.update_least_free();
         self.report_usage(now, out);
     }
 
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -21,8 +21,8 @@
 const PROGRESS_INTERVAL: Millis = Millis(100);
 /// Shortest interval between rounds of reports of what other dispatchers use. A round has at most one
 /// report for each millisecond since the last. If there are more dispatchers, they take turns: an
-/// agent's reports are then bounded however many there are, and free resources are not offered to all
-/// at once.
+/// agent's reports are then bounded however many there are. A round offers a free place to one of
+/// them only, and the next one to another, unless it has been taken by then.
 const USAGE_INTERVAL: Millis = Millis(8);
 /// An inherited run or end is abandoned if no dispatcher has claimed it after this long.
 /// Dispatchers reopen their sessions within that time; until then the worker's lease cannot be
@@ -206,17 +206,57 @@
         }
         let max_reports = usize::try_from(elapsed.0).unwrap_or(usize::MAX);
         self.usage_reported_at = now;
-        let mut outdated = self.dispatchers_to_inform();
-        let next = outdated.partition_point(|owner| Some(*owner) <= self.last_informed);
-        outdated.rotate_left(next);
-        self.usage_report_due = outdated.len() > max_reports;
-        outdated.truncate(max_reports);
-        for owner in outdated {
-            self.last_informed = Some(owner);
+        let outdated = self.dispatchers_to_inform();
+        let due = outdated.len();
+        let (mut offered, mut informed): (Vec<_>, Vec<_>) = outdated
+            .into_iter()
+            .partition(|owner| self.frees_room(*owner));
+        rotate_after(&mut offered, self.last_offered);
+        rotate_after(&mut informed, self.last_informed);
+        // A place that has come free since the last round is left to the dispatcher whose run ended
+        // there: it learns that first and may have ordered already.
+        let places = self.free_places(max_reports);
+        let offers = std::mem::replace(&mut self.least_free, places);
+        offered.truncate(offers.min(max_reports));
+        informed.truncate(max_reports - offered.len());
+        self.usage_report_due = due > offered.len() + informed.len();
+        self.last_offered = offered.last().copied().or(self.last_offered);
+        self.last_informed = informed.last().copied().or(self.last_informed);
+        for owner in offered.into_iter().chain(informed) {
             self.report_usage_to(owner, out);
         }
     }
 
+    /// Updates the least number of free places since the last round of reports.
+    pub(crate) fn update_least_free(&mut self) {
+        if self.least_free > 0 {
+            self.least_free = self.free_places(self.least_free);
+        }
+    }
+
+    /// Number of further runs, up to `limit`, for which there is room, if each needs as much as the
+    /// largest that is held.
+    fn free_places(&self, limit: usize) -> usize {
+        let needs = self.runs.iter().map(|(_, agent_run)| agent_run.need);
+        let largest = needs.max_by_key(|need| need.cpu);
+        let (Some(need), Some(server)) = (largest, &self.server) else {
+            return limit;
+        };
+        let mut used = self.used(None);
+        let mut places = 0;
+        while places < limit && server.capacity.fits(used, need) {
+            used.add(need);
+            places += 1;
+        }
+        places
+    }
+
+    /// True if a dispatcher was last told of more usage by others than there is now.
+    fn frees_room(&self, owner: Owner) -> bool {
+        let reported = self.dispatchers.get(&owner).and_then(|d| d.reported_usage);
+        reported.is_some_and(|reported| reported.exceeds(self.used(Some(owner))))
+    }
+
     /// Dispatchers that last heard of another usage than the present one, in order.
     fn dispatchers_to_inform(&self) -> Vec<Owner> {
         let is_outdated = |owner: Owner, dispatcher: &DispatcherLink| {
@@ -244,3 +284,9 @@
         }
     }
 }
+
+/// Has the first owner after `last` come first; `owners` are in order.
+fn rotate_after(owners: &mut [Owner], last: Option<Owner>) {
+    let next = owners.partition_point(|owner| Some(*owner) <= last);
+    owners.rotate_left(next);
+}
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 
 use fulmardrift::{
-    AcceptorMessage, AgentReport, AgentTimes, Call, CallId, CallReply, CallRouter, CallRouterInput,
-    CallRouterOutput, ClientAction, Initiator, InitiatorMessage, JobGuard, JobId, JobSpec, Millis,
-    OperatorConfig, Owner, Queue, QueueSettings, Resources, ServerAgent, ServerAgentInput,
-    ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
+    AcceptorMessage, AgentOrder, AgentReport, AgentTimes, Call, CallId, CallReply, CallRouter,
+    CallRouterInput, CallRouterOutput, ClientAction, Denial, Initiator, InitiatorMessage, JobGuard,
+    JobId, JobSpec, Millis, OperatorConfig, Owner, Queue, QueueSettings, Resources, ServerAgent,
+    ServerAgentInput, ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
 };
 
 use super::server::{FakeServer, Span};
@@ -86,6 +86,9 @@
     disabled: Vec<JobGuard>,
     /// Number of reports of what other dispatchers use.
     pub usage_reports: u64,
+    /// Number of start orders, and of those that were denied for want of room.
+    pub start_orders: u64,
+    pub denied_for_room: u64,
     /// Time between announcements of a backend server, in milliseconds. Must be a multiple of
     /// `HEARTBEAT_INTERVAL_MS`.
     pub announcement_interval_ms: u64,
@@ -167,6 +170,8 @@
             last_id: 0,
             disabled: disabled.to_vec(),
             usage_reports: 0,
+            start_orders: 0,
+            denied_for_room: 0,
             announcement_interval_ms: HEARTBEAT_INTERVAL_MS,
         };
         for _ in 0..entries {
@@ -359,6 +364,14 @@
                 ServerAgentOutput::Report(Owner::Entry(life), report) => {
                     let is_usage = matches!(report, AgentReport::OtherUsage(_));
                     self.usage_reports += u64::from(is_usage);
+                    let is_denial = matches!(
+                        report,
+                        AgentReport::NotStarted {
+                            reason: Denial::Room,
+                            ..
+                        }
+                    );
+                    self.denied_for_room += u64::from(is_denial);
                     let session = self
                         .sessions
                         .iter()
@@ -442,7 +455,11 @@
                 AcceptorMessage::HeartbeatAck { at, grant } => {
                     grant.map(|grant| ServerAgentInput::Granted(owner, at + grant))
                 }
-                AcceptorMessage::Order(order) => Some(ServerAgentInput::Order(owner, order)),
+                AcceptorMessage::Order(order) => {
+                    let is_start = matches!(order, AgentOrder::Start { .. });
+                    self.start_orders += u64::from(is_start);
+                    Some(ServerAgentInput::Order(owner, order))
+                }
                 AcceptorMessage::Recorded { life, upto } => {
                     Some(ServerAgentInput::Recorded { owner, life, upto })
                 }
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -9,5 +9,6 @@
 mod deadly_queue;
 mod deadly_tasks;
 mod grey_hang_many_entries;
+mod overload_of_many_entries;
 mod shrinking_room;
 mod usage_of_many_entries;
