Wait longer for a backend server that answers more slowly

Cause: an agent gave up a start or stop call after 30 ms and a hold call 50 ms after its wait, however long its backend server took. A start without an answer is stopped, its place stays taken until that is known, and its task is ordered elsewhere: the slower the answers, the more calls.

Change: the agent's state machine says how long each call may take. Repeated holds and stops wait as long. The platform's client keeps no time limits of its own.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -12,6 +12,7 @@
 use super::agent_calls::max_lease_duration;
 use super::agent_crashes::{CrashLog, Loss};
 use super::agent_run::{AgentRun, RetainedEnd, RunPhase};
+use super::answer_times::AnswerTimes;
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::ejection::Ejection;
 use super::guard::{Guards, JobGuard};
@@ -152,6 +153,7 @@
     // The dispatchers that were last told in their turn that the others use less, and more.
     pub(crate) last_offered: Option<Owner>,
     pub(crate) last_informed: Option<Owner>,
+    pub(crate) answer_times: AnswerTimes,
     pub(crate) ejection: Ejection,
     pub(crate) crash_log: CrashLog,
     // An earlier incarnation of this agent may have left runs at a backend server that has not
@@ -198,6 +200,7 @@
             least_free: 0,
             last_offered: None,
             last_informed: None,
+            answer_times: AnswerTimes::new(),
             ejection: Ejection::default(),
             crash_log: CrashLog::default(),
             unknown_runs_until: None,
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -12,6 +12,8 @@
 /// Several calls fit into one lease, so that the lease survives the loss of one.
 const HOLD_WAIT: Millis = Millis(100);
 const HOLD_WAIT_IDLE: Millis = Millis(300);
+/// Added to the longest wait of a hold call, in milliseconds.
+const HOLD_MARGIN: Millis = Millis(50);
 /// Longest lease given at a time. What is lost with a backend server starts elsewhere only when it has
 /// expired; an agent that is away for longer loses its runs.
 const LEASE: Millis = Millis(300);
@@ -42,7 +44,7 @@
             payload,
             lease_expires_at,
         };
-        self.call_with_lease(bound, PendingCall::Start(task, run), kind, out);
+        self.call_with_lease(now, bound, PendingCall::Start(task, run), kind, out);
     }
 
     pub(crate) fn stop(
@@ -53,7 +55,7 @@
     ) {
         if let Some(agent_run) = self.runs.get_mut(&key) {
             agent_run.enter(RunPhase::Stopping, now);
-            self.call_stop(key.0, key.1, out);
+            self.call_stop(now, key.0, key.1, out);
         }
     }
 
@@ -116,13 +118,14 @@
     /// Makes a call that extends the lease until `bound` at the latest, by the agent's clock.
     fn call_with_lease(
         &mut self,
+        now: Millis,
         bound: Millis,
         pending: PendingCall,
         kind: ServerCallKind,
         out: &mut Vec<ServerAgentOutput>,
     ) {
         if self.server.is_some() {
-            self.call(pending, kind, out);
+            self.call(now, pending, kind, out);
             self.open_leases.insert(self.last_call, bound);
         }
     }
@@ -134,17 +137,24 @@
         self.unanswered_starts
             .retain(|(at, ..)| now.since(*at) < MAX_CALL_DELAY);
         for (_, task, run) in self.unanswered_starts.clone() {
-            self.call_stop(task, run, out);
+            self.call_stop(now, task, run, out);
         }
     }
 
-    pub(crate) fn call_stop(&mut self, task: TaskId, run: RunId, out: &mut Vec<ServerAgentOutput>) {
+    pub(crate) fn call_stop(
+        &mut self,
+        now: Millis,
+        task: TaskId,
+        run: RunId,
+        out: &mut Vec<ServerAgentOutput>,
+    ) {
         let kind = ServerCallKind::Stop { task, run };
-        self.call(PendingCall::Stop(task, run), kind, out);
+        self.call(now, PendingCall::Stop(task, run), kind, out);
     }
 
     pub(crate) fn call(
         &mut self,
+        now: Millis,
         pending: PendingCall,
         kind: ServerCallKind,
         out: &mut Vec<ServerAgentOutput>,
@@ -154,10 +164,19 @@
         };
         self.last_call = CallId(self.last_call.0 + 1);
         self.pending.insert(self.last_call, pending);
+        let answer_wait = self.answer_times.wait();
+        let wait = match &kind {
+            ServerCallKind::Hold { max_wait, .. } => *max_wait + answer_wait.max(HOLD_MARGIN),
+            ServerCallKind::Start { .. } | ServerCallKind::Stop { .. } => answer_wait,
+        };
+        if kind.is_answered_at_once() {
+            self.answer_times.sent(now, self.last_call);
+        }
         out.push(ServerAgentOutput::Call(ServerCall {
             id: self.last_call,
             server: server.id.clone(),
             token: self.term.0.max(self.min_token),
+            wait,
             kind,
         }));
     }
@@ -196,9 +215,9 @@
         };
         if lease_expires_at.is_some() {
             let bound = now + max_lease_duration(self.lease_length(now));
-            self.call_with_lease(bound, pending, kind, out);
+            self.call_with_lease(now, bound, pending, kind, out);
         } else {
-            self.call(pending, kind, out);
+            self.call(now, pending, kind, out);
         }
     }
 }
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -31,6 +31,7 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
+        self.answer_times.ended(now, id, &reply);
         self.settle_lease(id, &reply);
         if reply == ServerReply::Fenced {
             self.min_token = self.term.0.max(self.min_token) + 1;
@@ -144,7 +145,7 @@
         out: &mut Vec<ServerAgentOutput>,
     ) {
         let ServerReply::HoldReply(listing) = reply else {
-            self.next_hold_at = now + HOLD_RETRY_PAUSE;
+            self.next_hold_at = now + HOLD_RETRY_PAUSE.max(self.answer_times.wait());
             if self.may_have_just_ended(&reply) {
                 self.send_hold(now, Millis(0), out);
             }
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -50,8 +50,9 @@
             self.send_hold(now, max_wait, out);
         }
         self.send_extra_hold(now, out);
+        let stop_retry = STOP_RETRY.max(self.answer_times.wait());
         let overdue = |agent_run: &AgentRun| {
-            agent_run.phase == RunPhase::Stopping && now.since(agent_run.changed_at) >= STOP_RETRY
+            agent_run.phase == RunPhase::Stopping && now.since(agent_run.changed_at) >= stop_retry
         };
         let overdue: Vec<_> = self
             .runs
@@ -81,8 +82,8 @@
 
     /// Sends a hold call that does not wait for an end, in case the open one is never answered.
     fn send_extra_hold(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        let is_overdue =
-            now.since(self.last_hold_answered_at.max(self.last_hold_sent_at)) >= EXTRA_HOLD_AFTER;
+        let is_overdue = now.since(self.last_hold_answered_at.max(self.last_hold_sent_at))
+            >= EXTRA_HOLD_AFTER.max(self.answer_times.wait());
         if is_overdue && self.open_holds > 0 && !self.runs.is_empty() {
             self.send_hold(now, Millis(0), out);
         }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod agent_replies;
 pub(crate) mod agent_run;
 pub(crate) mod agent_ticks;
+pub(crate) mod answer_times;
 pub(crate) mod broadcast;
 pub(crate) mod bulkhead;
 pub(crate) mod call;
--- a/src/dispatch/server_call.rs
+++ b/src/dispatch/server_call.rs
@@ -18,6 +18,8 @@
     /// Fencing token: the leader's term, or a higher number once the backend server has refused
     /// that. The backend server refuses tokens lower than one that it has seen.
     pub token: u64,
+    /// Longest time to wait for the answer, in milliseconds.
+    pub wait: Millis,
     /// The requested action.
     pub kind: ServerCallKind,
 }
@@ -55,6 +57,13 @@
     },
 }
 
+impl ServerCallKind {
+    /// False for a hold call that may wait for an end.
+    pub(crate) fn is_answered_at_once(&self) -> bool {
+        !matches!(self, Self::Hold { max_wait, .. } if *max_wait > Millis(0))
+    }
+}
+
 /// The backend server's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ServerReply {
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -48,6 +48,8 @@
     pub unanswered_calls: u32,
     /// While true, calls are executed, and their answers are lost.
     pub mute: bool,
+    /// Each answer comes this long after its call was executed, if the agent waits for so long.
+    pub answer_delay: Millis,
     inbox: Vec<ServerAgentInput>,
 }
 
@@ -76,6 +78,8 @@
     delayed_calls: VecDeque<(Millis, usize, ServerCall)>,
     /// Calls without an answer, with the time at which the agent gives them up.
     lost_calls: VecDeque<(Millis, usize, CallId)>,
+    /// Answers that come late: when, the agent, the call and what the agent gets.
+    late_replies: Vec<(Millis, usize, CallId, ServerReply)>,
     sessions: Vec<Session>,
     to_agents: VecDeque<(Millis, SessionId, AcceptorMessage)>,
     to_entries: VecDeque<(Millis, SessionId, InitiatorMessage)>,
@@ -89,6 +93,8 @@
     /// Number of start orders, and of those that were denied for want of room.
     pub start_orders: u64,
     pub denied_for_room: u64,
+    /// Number of calls to backend servers.
+    pub server_calls: u64,
     /// Time between announcements of a backend server, in milliseconds. Must be a multiple of
     /// `HEARTBEAT_INTERVAL_MS`.
     pub announcement_interval_ms: u64,
@@ -163,6 +169,7 @@
             cut_to_entry: Vec::new(),
             delayed_calls: VecDeque::new(),
             lost_calls: VecDeque::new(),
+            late_replies: Vec::new(),
             sessions: Vec::new(),
             to_agents: VecDeque::new(),
             to_entries: VecDeque::new(),
@@ -172,6 +179,7 @@
             usage_reports: 0,
             start_orders: 0,
             denied_for_room: 0,
+            server_calls: 0,
             announcement_interval_ms: HEARTBEAT_INTERVAL_MS,
         };
         for _ in 0..entries {
@@ -191,6 +199,7 @@
                 server: FakeServer::new(&format!("s{at}"), &format!("dc{at}"), Millis(work)),
                 frozen: false,
                 start_delay: None,
+                answer_delay: Millis(0),
                 unanswered_calls: 0,
                 mute: false,
                 inbox: Vec::new(),
@@ -492,6 +501,10 @@
     /// Executes the calls to backend servers that are due.
     fn execute_calls(&mut self) {
         let now = self.now;
+        let due = self.late_replies.extract_if(.., |(at, ..)| *at <= now);
+        for (_, agent, id, reply) in due.collect::<Vec<_>>() {
+            self.reply(agent, id, reply);
+        }
         while let Some((_, agent, id)) = self.lost_calls.pop_front_if(|(at, ..)| *at <= now) {
             self.reply(agent, id, ServerReply::NoAnswer);
         }
@@ -500,6 +513,7 @@
         }
         while let Some((_, agent, call)) = self.calls.pop_front_if(|(at, ..)| *at < now) {
             let is_start = matches!(call.kind, fulmardrift::ServerCallKind::Start { .. });
+            self.server_calls += 1;
             if !is_start && self.agents[agent].unanswered_calls > 0 {
                 self.agents[agent].unanswered_calls -= 1;
                 self.lost_calls
@@ -524,6 +538,17 @@
                 }
                 _ => self.agents[agent].server.call(now, &call),
             };
+            let delay = self.agents[agent].answer_delay;
+            if delay > Millis(0) {
+                let reply = if delay < call.wait {
+                    reply
+                } else {
+                    ServerReply::NoAnswer
+                };
+                let at = now + delay.min(call.wait);
+                self.late_replies.push((at, agent, call.id, reply));
+                continue;
+            }
             self.reply(agent, call.id, reply);
         }
     }
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -11,4 +11,5 @@
 mod grey_hang_many_entries;
 mod overload_of_many_entries;
 mod shrinking_room;
+mod slow_answers;
 mod usage_of_many_entries;
