Suspect kept connections of late calls only after a silence

Cause: the time since the response before bounds a request's age, and says nothing of how long the request took.

Change: a call on a kept connection is late only if it waited in the entry, or if no call had come for the bound and the time since is shorter than that silence, within which retransmissions arrive.

Evidence: tests/transient_jobs.rs, a_call_on_an_idle_connection_waits_only_after_a_silence, calls on idle connections with other calls before them are ordered at once, and not after a silence of 2 s. What remains: a held-up request on a kept connection while other callers' requests arrive, whose end of connection comes later than it.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -7,7 +7,7 @@
 use fulmardrift::{
     AcceptorMessage, AgentOrder, AgentReport, Call, CallRouter, CallRouterInput, CallRouterOutput,
     ClientAction, Initiator, InitiatorMessage, JobId, JobSpec, Millis, OperatorConfig, Queue,
-    QueueSettings, Resources, RunEnd, RunOutcome, Server, SessionId, Step,
+    QueueSettings, Resources, RunEnd, RunOutcome, SentAfter, Server, SessionId, Step,
 };
 
 const TASKS: u32 = 4;
@@ -104,7 +104,10 @@
     let input = CallRouterInput::Call {
         token: number,
         call,
-        sent_after: now,
+        sent: SentAfter {
+            surely: now,
+            usually: now,
+        },
         deadline: now + TIMEOUT,
     };
     router.step(now, input, &mut out);
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -9,7 +9,7 @@
 use super::call::{Call, CallReply, ClientAction};
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId};
 use super::guard::JobGuard;
-use super::late_calls::TurnGaps;
+use super::late_calls::{ArrivalGaps, SentAfter, TurnGaps};
 use super::readiness::Readiness;
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
@@ -44,8 +44,8 @@
         token: u64,
         /// What it asks.
         call: Call,
-        /// The caller has sent it at this time at the earliest.
-        sent_after: Millis,
+        /// When its caller can have sent it.
+        sent: SentAfter,
         /// When the call must be answered at the latest.
         deadline: Millis,
     },
@@ -101,7 +101,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct IncomingCall {
     pub(super) token: u64,
-    pub(super) sent_after: Millis,
+    pub(super) sent: SentAfter,
     pub(super) received_at: Millis,
     pub(super) deadline: Millis,
     /// Its caller is known to wait for it, however old it is.
@@ -111,7 +111,7 @@
 #[derive(Debug)]
 pub(super) struct OpenCall {
     pub(super) route: CallRoute,
-    pub(super) sent_after: Millis,
+    pub(super) sent: SentAfter,
     pub(super) received_at: Millis,
     pub(super) deadline: Millis,
 }
@@ -137,6 +137,7 @@
     // Number of open calls with the route `Held`.
     pub(super) held_calls: usize,
     pub(super) gaps: TurnGaps,
+    pub(super) arrivals: ArrivalGaps,
     actions: Vec<DispatchOutput>,
 }
 
@@ -159,6 +160,7 @@
             stops_at: None,
             held_calls: 0,
             gaps: TurnGaps::new(now),
+            arrivals: ArrivalGaps::new(now),
             actions: Vec::new(),
         }
     }
@@ -174,12 +176,13 @@
             CallRouterInput::Call {
                 token,
                 call,
-                sent_after,
+                sent,
                 deadline,
             } => {
+                self.note_arrival(now);
                 let incoming = IncomingCall {
                     token,
-                    sent_after,
+                    sent,
                     received_at: now,
                     deadline,
                     is_confirmed: false,
@@ -285,7 +288,7 @@
         let Some(config) = self.config.clone() else {
             let open = OpenCall {
                 route: CallRoute::Parked(call),
-                sent_after: incoming.sent_after,
+                sent: incoming.sent,
                 received_at: incoming.received_at,
                 deadline: incoming.deadline,
             };
@@ -326,7 +329,7 @@
         };
         let open = OpenCall {
             route,
-            sent_after: incoming.sent_after,
+            sent: incoming.sent,
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
@@ -372,7 +375,7 @@
             {
                 let incoming = IncomingCall {
                     token,
-                    sent_after: open.sent_after,
+                    sent: open.sent,
                     received_at: open.received_at,
                     deadline: open.deadline,
                     is_confirmed: false,
@@ -424,7 +427,7 @@
         self.waiting_calls.or_insert_with(id, Vec::new).push(token);
         let open = OpenCall {
             route: CallRoute::Local(id),
-            sent_after: incoming.sent_after,
+            sent: incoming.sent,
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
--- a/src/dispatch/late_calls.rs
+++ b/src/dispatch/late_calls.rs
@@ -19,6 +19,41 @@
 /// on its callers' connections. It ticks every 20 ms.
 const MAX_GAP: Millis = Millis(40);
 
+/// The times after which a caller has sent a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SentAfter {
+    /// In any case.
+    pub surely: Millis,
+    /// Unless requests were held up on their way.
+    pub usually: Millis,
+}
+
+/// Gaps between the calls of an entry, which show that its callers' requests may have been held up.
+#[derive(Debug)]
+pub(super) struct ArrivalGaps {
+    last_at: Millis,
+    held_up_until: Millis,
+}
+
+impl ArrivalGaps {
+    pub(super) fn new(now: Millis) -> Self {
+        Self {
+            last_at: now,
+            held_up_until: now,
+        }
+    }
+
+    /// Notes a call. What was sent during a silence arrives within its length after its end, as
+    /// the time between two transmissions doubles.
+    fn note(&mut self, now: Millis, limit: Millis) {
+        let gap = now.since(self.last_at);
+        self.last_at = now;
+        if gap > limit {
+            self.held_up_until = self.held_up_until.max(now + gap);
+        }
+    }
+}
+
 /// From when on an entry may order tasks, as far as its own pauses matter.
 #[derive(Debug)]
 pub(super) struct TurnGaps {
@@ -60,9 +95,20 @@
         MIN_RESEND - self.dispatcher.lapse_time()
     }
 
+    /// Notes that a call arrives.
+    pub(super) fn note_arrival(&mut self, now: Millis) {
+        let limit = self.late_after();
+        self.arrivals.note(now, limit);
+    }
+
     /// True if the caller may have given this call up before now, by the age that it can have.
     pub(super) fn may_be_late(&self, now: Millis, incoming: &IncomingCall) -> bool {
-        !incoming.is_confirmed && now.since(incoming.sent_after) > self.late_after()
+        let sent_after = if now < self.arrivals.held_up_until {
+            incoming.sent.surely
+        } else {
+            incoming.sent.usually
+        };
+        !incoming.is_confirmed && now.since(sent_after) > self.late_after()
     }
 
     /// Keeps a late call until its caller is known to wait for it.
@@ -72,7 +118,7 @@
                 call,
                 until: now + CONFIRM_WAIT,
             },
-            sent_after: incoming.sent_after,
+            sent: incoming.sent,
             received_at: incoming.received_at,
             deadline: incoming.deadline,
         };
@@ -112,7 +158,7 @@
             if let CallRoute::Held { call, .. } = open.route {
                 let incoming = IncomingCall {
                     token,
-                    sent_after: open.sent_after,
+                    sent: open.sent,
                     received_at: open.received_at,
                     deadline: open.deadline,
                     is_confirmed: true,
@@ -134,7 +180,7 @@
         };
         events::LATE_CALL.log(format_args!(
             "call={token} path={path:?} max_age_ms={} waited_ms={} outcome={outcome}",
-            open.received_at.since(open.sent_after).0,
+            open.received_at.since(open.sent.surely).0,
             now.since(open.received_at).0
         ));
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub use crate::dispatch::call_router::{CallRouter, CallRouterInput, CallRouterOutput, LinkId};
 pub use crate::dispatch::dispatcher_link::Owner;
 pub use crate::dispatch::guard::JobGuard;
+pub use crate::dispatch::late_calls::SentAfter;
 pub use crate::dispatch::replica::{
     Replica, ReplicaError, ReplicaInput, ReplicaOutput, ReplicaTimes,
 };
@@ -89,7 +90,7 @@
 pub use crate::node::address::{replica_address, replica_id};
 pub use crate::node::agent::AgentNode;
 pub use crate::node::control::{ControlNode, ControlNodeConfig, ControlStartError, stop_within};
-pub use crate::node::entry::{EntryNode, EntryNodeConfig};
+pub use crate::node::entry::{CallAge, EntryNode, EntryNodeConfig};
 pub use crate::node::fragments::{
     FragmentError, MessageDecoder, MessageEncoder, Priority, announce_fragments,
     announces_fragments,
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -19,6 +19,7 @@
 use crate::core::table::Table;
 use crate::dispatch::call::{Call, CallReply};
 use crate::dispatch::call_router::{CallRouter, CallRouterInput, CallRouterOutput};
+use crate::dispatch::late_calls::SentAfter;
 use crate::dispatch::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use crate::events;
 use crate::shell::clock::{Clock, unix_now};
@@ -34,18 +35,20 @@
 
 #[derive(Debug)]
 enum Event {
-    Call(u64, Call, Sent, oneshot::Sender<CallReply>),
+    Call(u64, Call, (SentAfter, Millis), oneshot::Sender<CallReply>),
     CallerLeft(u64),
     Session(SessionEvent),
     StopsAt(Millis),
     Seeds(Vec<SocketAddrV4>),
 }
 
-/// Times of a call.
-#[derive(Debug, Clone, Copy)]
-struct Sent {
-    after: Millis,
-    deadline: Millis,
+/// How long ago a caller can have sent a call.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct CallAge {
+    /// At most.
+    pub max: Millis,
+    /// At most, unless requests were held up on their way.
+    pub usual: Millis,
 }
 
 /// Configuration of an entry.
@@ -112,15 +115,16 @@
     }
 
     /// Passes a call to the entry's dispatcher or to the leader, and returns the answer, which
-    /// comes within `wait` milliseconds. The caller sent it `max_age` ago at most. Dropping the
+    /// comes within `wait` milliseconds. Dropping the
     /// future withdraws the call: a transient job that no other call waits for is stopped.
-    pub async fn call(&self, call: Call, max_age: Millis, wait: Millis) -> CallReply {
+    pub async fn call(&self, call: Call, age: CallAge, wait: Millis) -> CallReply {
         let (tx, rx) = oneshot::channel();
         let received_at = self.clock.now();
-        let sent = Sent {
-            after: received_at - max_age,
-            deadline: received_at + wait,
+        let sent = SentAfter {
+            surely: received_at - age.max,
+            usually: received_at - age.usual,
         };
+        let deadline = received_at + wait;
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
         let mut guard = CallGuard {
             tx: &self.tx,
@@ -128,7 +132,7 @@
         };
         if self
             .tx
-            .send(Event::Call(token, call, sent, tx))
+            .send(Event::Call(token, call, (sent, deadline), tx))
             .await
             .is_err()
         {
@@ -281,13 +285,13 @@
             }
             // The notice that a caller has left finds no room in a full queue.
             Event::Call(_, _, _, tx) if tx.is_closed() => None,
-            Event::Call(token, call, sent, tx) => {
+            Event::Call(token, call, (sent, deadline), tx) => {
                 self.callers.insert(token, tx);
                 Some(CallRouterInput::Call {
                     token,
                     call,
-                    sent_after: sent.after,
-                    deadline: sent.deadline,
+                    sent,
+                    deadline,
                 })
             }
             Event::Session(SessionEvent::Opened(id, tx)) => {
--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -5,7 +5,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use fulmardrift::{Call, EntryNode, EntryNodeConfig, Millis};
+use fulmardrift::{Call, CallAge, EntryNode, EntryNodeConfig, Millis};
 
 /// More calls than wait in an entry's queue of events.
 const CALLS: usize = 5_000;
@@ -29,7 +29,7 @@
         };
         let node = EntryNode::start(cfg).await.unwrap();
         let mut calls: Vec<_> = (0..CALLS)
-            .map(|_| Box::pin(node.call(Call::GetConfig, Millis(0), WAIT)))
+            .map(|_| Box::pin(node.call(Call::GetConfig, CallAge::default(), WAIT)))
             .collect();
         // The entry does not run meanwhile, as there is one thread.
         poll_fn(|cx| {
@@ -41,7 +41,7 @@
         .await;
         drop(calls);
         // Answered after all that were queued before it.
-        let mut last = Box::pin(node.call(Call::GetConfig, Millis(0), WAIT));
+        let mut last = Box::pin(node.call(Call::GetConfig, CallAge::default(), WAIT));
         let mut max_open = 0;
         loop {
             let step = tokio::time::timeout(Duration::from_millis(5), &mut last);
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -11,8 +11,8 @@
 use fulmardrift::{
     AcceptorMessage, AgentReport, AgentTimes, Call, CallId, CallReply, CallRouter, CallRouterInput,
     CallRouterOutput, ClientAction, Initiator, InitiatorMessage, JobGuard, JobId, JobSpec, Millis,
-    OperatorConfig, Owner, Queue, QueueSettings, Resources, ServerAgent, ServerAgentInput,
-    ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
+    OperatorConfig, Owner, Queue, QueueSettings, Resources, SentAfter, ServerAgent,
+    ServerAgentInput, ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
 };
 
 use super::server::{FakeServer, Span};
@@ -294,16 +294,20 @@
     }
 
     pub fn call(&mut self, entry: usize, token: u64, call: Call, wait: u64) {
-        self.call_aged(entry, token, call, 0, wait);
+        self.call_aged(entry, token, call, [0; 2], wait);
     }
 
-    /// A call that its caller sent at most `max_age` ms ago.
-    pub fn call_aged(&mut self, entry: usize, token: u64, call: Call, max_age: u64, wait: u64) {
+    /// A call that its caller sent at most `ages[0]` ms ago, usually `ages[1]`.
+    pub fn call_aged(&mut self, entry: usize, token: u64, call: Call, ages: [u64; 2], wait: u64) {
         let deadline = self.now + Millis(wait);
+        let sent = SentAfter {
+            surely: self.now - Millis(ages[0]),
+            usually: self.now - Millis(ages[1]),
+        };
         let input = CallRouterInput::Call {
             token,
             call,
-            sent_after: self.now - Millis(max_age),
+            sent,
             deadline,
         };
         self.router_input(entry, input);
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -7,7 +7,7 @@
 
 use fulmardrift::{
     Call, CallReply, CallRouterInput, ClientAction, JobGuard, JobId, JobStatus, Millis, RunOutcome,
-    ServerAgentInput, Term,
+    SentAfter, ServerAgentInput, Term,
 };
 
 use fleet::{Fleet, job, submit};
@@ -625,7 +625,7 @@
         let mut fleet = Fleet::with_disabled(2, 2, 200, disabled);
         fleet.call(1, 1, submit(JobId(7), job(4, 200, true)), 1_500);
         fleet.run(20);
-        fleet.call_aged(0, 1, submit(JobId(7), job(4, 200, true)), LATE, 1_500);
+        fleet.call_aged(0, 1, submit(JobId(7), job(4, 200, true)), [LATE; 2], 1_500);
         fleet.run(5);
         fleet.router_input(0, CallRouterInput::Left(1));
         fleet.run(500);
@@ -646,7 +646,10 @@
     let input = CallRouterInput::Call {
         token: 1,
         call: submit(JobId(7), job(4, 200, true)),
-        sent_after: now,
+        sent: SentAfter {
+            surely: now,
+            usually: now,
+        },
         deadline: now + Millis(1_500),
     };
     // The process stands still within the turn.
@@ -675,7 +678,7 @@
 #[test]
 fn a_late_call_of_a_waiting_caller_is_served() {
     let mut fleet = Fleet::new(1, 2, 50);
-    fleet.call_aged(0, 1, submit(JobId(7), job(2, 50, true)), LATE, 1_500);
+    fleet.call_aged(0, 1, submit(JobId(7), job(2, 50, true)), [LATE; 2], 1_500);
     fleet.run(200);
     assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
     assert_eq!(fleet.spans().len(), 2);
@@ -685,7 +688,7 @@
 fn a_call_that_can_not_be_late_is_ordered_at_once() {
     for age in [0, ON_TIME] {
         let mut fleet = Fleet::new(1, 2, 50);
-        fleet.call_aged(0, 1, submit(JobId(7), job(2, 50, true)), age, 1_500);
+        fleet.call_aged(0, 1, submit(JobId(7), job(2, 50, true)), [age; 2], 1_500);
         let sent_at = fleet.now;
         fleet.run(10);
         let spans = fleet.spans();
@@ -701,8 +704,37 @@
     let mut fleet = Fleet::new(1, 2, 50);
     fleet.call(0, 1, submit(JobId(7), job(2, 50, true)), 1_500);
     fleet.run(10);
-    fleet.call_aged(0, 2, submit(JobId(7), job(2, 50, true)), LATE, 1_500);
+    fleet.call_aged(0, 2, submit(JobId(7), job(2, 50, true)), [LATE; 2], 1_500);
     fleet.run(45);
     assert_eq!(fleet.answer(0, 2), Some(&COMPLETED));
     assert_eq!(fleet.spans().len(), 2);
 }
+
+/// Guards against a delay of each request on a kept connection, and against late orders where such
+/// connections had all been silent.
+#[test]
+fn a_call_on_an_idle_connection_waits_only_after_a_silence() {
+    for silence in [0, 2_000] {
+        let mut fleet = Fleet::new(1, 2, 50);
+        for token in 11..=14 {
+            fleet.call(0, token, submit(JobId(token), job(2, 50, true)), 1_500);
+            fleet.run(200);
+        }
+        fleet.run(silence);
+        let before = fleet.spans().len();
+        for token in [2, 3] {
+            let call = submit(JobId(token + 6), job(2, 50, true));
+            fleet.call_aged(0, token, call, [LATE, 0], 1_500);
+        }
+        fleet.run(5);
+        let ordered = fleet.spans().len() - before;
+        assert_eq!(ordered, if silence == 0 { 4 } else { 0 });
+        fleet.router_input(0, CallRouterInput::Left(2));
+        fleet.run(300);
+        assert_eq!(fleet.answer(0, 3), Some(&COMPLETED));
+        assert_eq!(
+            fleet.spans().len() - before,
+            if silence == 0 { 4 } else { 2 }
+        );
+    }
+}
