Release late calls at the time for which callers were checked

The entry read its clock once to withdraw the calls of callers that had left, and again to release late calls: one that became due in between was released unchecked. Not seen; found by reading.

--- a/src/dispatch/late_calls.rs
+++ b/src/dispatch/late_calls.rs
@@ -126,8 +126,8 @@
         self.open_call(incoming.token, open);
     }
 
-    /// True if a call is about to be released. The caller's ends of connections must be passed on
-    /// before.
+    /// True if a call is about to be released. The ends of callers' connections must be
+    /// passed on before.
     pub(crate) fn has_due_calls(&self, now: Millis) -> bool {
         self.held_calls > 0
             && self.open_calls.iter().any(
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -239,11 +239,12 @@
                     self.router.step(self.clock.now(), input, &mut out);
                 }
             }
+            let flushed_at = self.clock.now();
             // The notice that a caller has left may still wait in the queue.
-            if self.router.has_due_calls(self.clock.now()) {
-                self.withdraw_left(self.clock.now(), &mut out);
+            if self.router.has_due_calls(flushed_at) {
+                self.withdraw_left(flushed_at, &mut out);
             }
-            self.router.flush(self.clock.now(), unix_now(), &mut out);
+            self.router.flush(flushed_at, unix_now(), &mut out);
             for output in out.drain(..) {
                 self.execute(output);
             }
