Suspect kept connections only after a silence of a second

Cause: the bound allowed for the time in which runs end whose agent hears nothing. A request that was held up for less than a second is followed by its caller's end in time for an ordinary stop of its runs.

Change: the silence that counts is the resend time less the time of a stop and its repetitions, 300 ms. The age of a call on a new connection, or of one that waited in the entry, keeps the stricter bound.

--- a/src/dispatch/late_calls.rs
+++ b/src/dispatch/late_calls.rs
@@ -12,6 +12,9 @@
 /// A caller without an answer sends its job to another entry this long later at the earliest, in
 /// milliseconds.
 const MIN_RESEND: Millis = Millis(1_300);
+/// Time for the stop of a job's runs to reach their backend servers, repeated twice, in
+/// milliseconds.
+const STOP_TIME: Millis = Millis(300);
 /// How long a late call waits for the end of its connection, in milliseconds: some round trips to
 /// a caller, since a lost packet is followed by the end only once it was sent again.
 const CONFIRM_WAIT: Millis = Millis(20);
@@ -97,8 +100,8 @@
 
     /// Notes that a call arrives.
     pub(super) fn note_arrival(&mut self, now: Millis) {
-        let limit = self.late_after();
-        self.arrivals.note(now, limit);
+        // Held up for less, a request is followed by its caller's end in time.
+        self.arrivals.note(now, MIN_RESEND - STOP_TIME);
     }
 
     /// True if the caller may have given this call up before now, by the age that it can have.
