Share a job's payload between the orders for its tasks

A job of many tasks with a large payload makes an entry take more memory than its machine has: each order for a task held its own copy, and an order may wait for a session.

Evidence, an entry with 20 agents, peak memory of a release build, before and after: one job of 400 tasks with 250,000 bytes, 109 MB and 31 MB; ten of them, 226 MB and 96 MB. The machine has 120 MB. `the_orders_of_a_job_share_its_payload` does not compile on the code before, where an order owns its payload.

Change: orders hold the payload by a shared reference; the format of messages is the same. Each session still encodes all messages that wait for it, so there is no bound in total yet.

--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -1,5 +1,7 @@
 //! An agent's calls to its backend server, and the length of the lease that they extend.
 
+use std::sync::Arc;
+
 use super::agent::{PendingCall, ServerAgent, ServerAgentOutput};
 use super::agent_run::RunPhase;
 use super::dispatcher_link::Owner;
@@ -29,7 +31,7 @@
         now: Millis,
         task: TaskId,
         run: RunId,
-        payload: String,
+        payload: Arc<str>,
         out: &mut Vec<ServerAgentOutput>,
     ) {
         let Some(lease_expires_at) = self.lease_end(now) else {
--- a/src/dispatch/replicated_state.rs
+++ b/src/dispatch/replicated_state.rs
@@ -85,7 +85,7 @@
         let tasks = spec.steps.iter().map(records).collect();
         let definition = JobDefinition {
             settings,
-            payload: spec.payload,
+            payload: spec.payload.into(),
             steps: spec.steps,
         };
         Self {
--- a/src/dispatch/server_call.rs
+++ b/src/dispatch/server_call.rs
@@ -1,5 +1,7 @@
 //! Calls of an agent to its backend server, and their answers.
 
+use std::sync::Arc;
+
 use super::spec::{Resources, RunId, RunOutcome, TaskId};
 use super::wire::Denial;
 use crate::core::clock::Millis;
@@ -32,7 +34,7 @@
         /// Its run.
         run: RunId,
         /// The job's payload.
-        payload: String,
+        payload: Arc<str>,
         /// When the lease expires, on the backend server's clock, in milliseconds.
         lease_expires_at: Millis,
     },
--- a/src/dispatch/spec.rs
+++ b/src/dispatch/spec.rs
@@ -1,5 +1,7 @@
 //! Jobs, tasks and queues as callers and operators define them.
 
+use std::sync::Arc;
+
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -189,7 +191,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct JobDefinition {
     pub(crate) settings: QueueSettings,
-    pub(crate) payload: String,
+    pub(crate) payload: Arc<str>,
     pub(crate) steps: Vec<Step>,
 }
 
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -180,7 +180,7 @@
         /// Resources that the run takes.
         need: Resources,
         /// Passed unchanged to the backend server.
-        payload: String,
+        payload: Arc<str>,
     },
     /// Make sure that a run unknown to the agent never starts. Sent when the order to start it, or
     /// the answer, was lost.
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -9,10 +9,10 @@
 use std::sync::Arc;
 
 use fulmardrift::{
-    AcceptorMessage, AgentReport, AgentTimes, Call, CallId, CallReply, CallRouter, CallRouterInput,
-    CallRouterOutput, ClientAction, Initiator, InitiatorMessage, JobGuard, JobId, JobSpec, Millis,
-    OperatorConfig, Owner, Queue, QueueSettings, Resources, ServerAgent, ServerAgentInput,
-    ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
+    AcceptorMessage, AgentOrder, AgentReport, AgentTimes, Call, CallId, CallReply, CallRouter,
+    CallRouterInput, CallRouterOutput, ClientAction, Initiator, InitiatorMessage, JobGuard, JobId,
+    JobSpec, Millis, OperatorConfig, Owner, Queue, QueueSettings, Resources, ServerAgent,
+    ServerAgentInput, ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
 };
 
 use super::server::{FakeServer, Span};
@@ -346,6 +346,19 @@
         }
     }
 
+    /// The payloads of the orders that are on their way to agents.
+    pub fn ordered_payloads(&self) -> Vec<Arc<str>> {
+        let messages = self.to_agents.iter();
+        messages
+            .filter_map(|(_, _, message)| match message {
+                AcceptorMessage::Order(AgentOrder::Start { payload, .. }) => {
+                    Some(Arc::clone(payload))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
     pub fn agent_input(&mut self, agent: usize, input: ServerAgentInput) {
         if self.agents[agent].frozen {
             self.agents[agent].inbox.push(input);
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -5,6 +5,8 @@
 #[path = "fakes/server.rs"]
 mod server;
 
+use std::sync::Arc;
+
 use fulmardrift::{
     Call, CallReply, CallRouterInput, ClientAction, JobId, JobStatus, Millis, RunOutcome,
     ServerAgentInput, Term,
@@ -119,6 +121,17 @@
     assert_eq!(fleet.overlaps(), []);
 }
 
+/// Guards against an entry that is killed for its memory because each order for a task of a large
+/// job holds the payload once more.
+#[test]
+fn the_orders_of_a_job_share_its_payload() {
+    let mut fleet = Fleet::new(1, 1, 600);
+    fleet.call(0, 1, submit(JobId(7), job(3, 600, true)), 5_000);
+    let payloads = fleet.ordered_payloads();
+    assert_eq!(payloads.len(), 3);
+    assert!(payloads.iter().all(|p| Arc::ptr_eq(p, &payloads[0])));
+}
+
 #[test]
 fn a_restarted_agent_keeps_the_runs_that_its_entry_claims() {
     let mut fleet = Fleet::new(1, 1, 600);
