--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -371,6 +371,19 @@
         }
     }
 
+    /// The payloads of the orders that are on their way to agents.
+    pub fn ordered_payloads(&self) -> Vec<Arc<str>> {
+        let messages = self.to_agents.iter();
+        messages
+            .filter_map(|(_, _, message)| match message {
+                AcceptorMessage::Order(AgentOrder::Start { payload, .. }) => {
+                    Some(Arc::clone(payload))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+
     pub fn agent_input(&mut self, agent: usize, input: ServerAgentInput) {
         if self.agents[agent].frozen {
             self.agents[agent].inbox.push(input);
