--- a/tests/fakes/timed_disk.rs
+++ b/tests/fakes/timed_disk.rs
@@ -86,6 +86,19 @@
         self.waiting = Write::default();
     }
 
+    /// Loses power: of the write that is not synced, so many percent of the records stay. A snapshot stays
+    /// as a whole or not at all.
+    pub fn lose_power(&mut self, percent: usize) {
+        let is_writing = matches!(self.state, DiskState::Writing { .. });
+        let count = self.current.records.len();
+        let kept = (count * percent + 50) / 100;
+        if is_writing && (kept == count || self.snapshot_at().is_none()) {
+            self.current.records.truncate(kept);
+            self.finish();
+        }
+        self.crash();
+    }
+
     pub fn write(&mut self, number: u64, records: Vec<Record>) {
         self.waiting.number = number;
         self.waiting.records.extend(records);
--- a/tests/fakes/timed_group.rs
+++ b/tests/fakes/timed_group.rs
@@ -190,6 +190,16 @@
         self.drop_sessions(id);
     }
 
+    /// Takes the power of a machine; so many percent of an unsynced write are on its disk.
+    pub fn lose_power(&mut self, id: u64, percent: usize) {
+        self.instances
+            .get_mut(&id)
+            .unwrap()
+            .disk
+            .lose_power(percent);
+        self.kill(id);
+    }
+
     /// Replaces the disk of an instance by an empty one.
     pub fn wipe(&mut self, id: u64) {
         self.kill(id);
@@ -438,6 +448,15 @@
         is_done
     }
 
+    /// Sends a change and does not wait for its reply.
+    pub fn send_change(&mut self, bytes: usize) {
+        self.last_version += 1;
+        let config = large_config(self.last_version, bytes);
+        if let Some(leader) = self.leader() {
+            self.call(leader, Call::PutConfig(Some(config)));
+        }
+    }
+
     /// Submits a job that no backend server can run, with a payload of this many bytes.
     pub fn submit(&mut self, id: JobId, bytes: usize, limit: Millis) -> bool {
         let spec = large_job(bytes);
