Soak: kill all processes at an acknowledgement and take the tolerated disks

A run of a whole deployment now ends with this: the moment a change is acknowledged, all processes are killed, half of the control instances, rounded down, lose their disks, and all start again at once. Of the other logs, what was written after the acknowledgement is cut at a random byte, unless another change was acknowledged meanwhile.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -263,6 +263,12 @@
                 options.cuts,
             );
             self.play(steps).await;
+            if !self.wait_until_up(Instant::now()).await {
+                return None;
+            }
+            if let Err(error) = self.kill_after_change().await {
+                self.find(format!("cannot kill all after a change: {error}"));
+            }
         } else {
             sleep(self.options.length).await;
         }
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -1,11 +1,15 @@
 //! Carries out the schedule, and watches the processes.
 
-use std::fs;
+use std::fs::{self, File};
 use std::io;
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::fleet::Shared;
@@ -16,6 +20,10 @@
 
 /// Pause between two looks at the processes.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which an answer that a killed process sent has arrived.
+const IN_FLIGHT: Duration = Duration::from_millis(300);
+/// Name of a control instance's log in its data directory.
+const CONTROL_LOG: &str = "log";
 /// Number of lines of a log that a finding quotes.
 const QUOTED: usize = 4;
 
@@ -57,6 +65,59 @@
         }
     }
 
+    /// All processes are killed the moment a change is acknowledged, and as many control instances as
+    /// is tolerated lose their disks. Of the other logs, what was written after that is cut off in
+    /// part, as it may not have been synced.
+    pub(crate) async fn kill_after_change(&self) -> io::Result<()> {
+        // A disk may be lost once those lost before are back.
+        sleep(self.options.catch_up).await;
+        let mut rng = Pcg64::seed_from_u64(self.seed.rotate_left(32));
+        let version = self.ledger().next_version(1);
+        self.change(version, &mut rng).await;
+        let acknowledged = self.ledger().acknowledgements();
+        let controls: Vec<Host> = self.layout.sizes.hosts(Class::Control).collect();
+        let log = |host: Host| self.home(host).join("data").join(CONTROL_LOG);
+        let logs: Vec<_> = controls
+            .iter()
+            .map(|host| fs::metadata(log(*host)))
+            .collect();
+        let mut processes = Vec::new();
+        for (host, process) in &self.processes {
+            processes.push(process.lock().await);
+            self.disturb(*host, true);
+        }
+        for process in &mut processes {
+            process.start_kill()?;
+        }
+        for process in &mut processes {
+            process.kill().await?;
+        }
+        drop(processes);
+        self.note(&format!("kill all, version {version} is acknowledged"));
+        sleep(IN_FLIGHT).await;
+        // What is acknowledged later may stand behind the lengths that were read.
+        let may_cut = self.ledger().acknowledgements() == acknowledged;
+        let lost = controls.iter().sample(&mut rng, controls.len() / 2);
+        for (host, before) in controls.iter().zip(logs) {
+            if lost.contains(&host) {
+                self.note(&describe(&Step::Wipe(*host)));
+                fs::remove_dir_all(self.home(*host).join("data"))?;
+            } else if may_cut {
+                let (before, now) = (before?, fs::metadata(log(*host))?);
+                if before.ino() == now.ino() && before.len() < now.len() {
+                    let len = rng.random_range(before.len()..=now.len());
+                    self.note(&format!("cut the log of {host} to {len} of {}", now.len()));
+                    File::options().write(true).open(log(*host))?.set_len(len)?;
+                }
+            }
+        }
+        for (host, _) in &self.processes {
+            self.start(*host, false).await?;
+            self.disturb(*host, false);
+        }
+        Ok(())
+    }
+
     async fn carry_out(self: &Arc<Self>, step: Step) -> io::Result<()> {
         match step {
             Step::Kill(host) => {
