Test the founding of a group that lacks an instance or loses a disk

A try was taken back: each instance founds in its turn, once all others have said that they are empty. What another has said may be from before the first one founded the group with it. If that one then loses its disk, the second founds another group with the empty disk, whose majority shares no disk with the majority that had acknowledged a change.

--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -43,6 +43,8 @@
     pub net: VecDeque<Message>,
     /// Instances that are partitioned from all others.
     pub isolated: Vec<u64>,
+    /// Pairs of instances from the first of which nothing reaches the second.
+    pub cut: Vec<(u64, u64)>,
     pub answers: BTreeMap<RequestId, ControlAnswer>,
     /// Safety rules that are turned off.
     pub disabled_guards: Vec<RaftGuard>,
@@ -51,6 +53,8 @@
     /// Number of voters that such a group should have; that of its founders when it is created.
     pub target_size: usize,
     pub founded: bool,
+    /// Instances that lost a disk: what their settings allow at the first start went with it.
+    disks_lost: Vec<u64>,
     /// Instances to which no entry and no snapshot gets through, only other messages.
     pub no_bulk_to: Vec<u64>,
     /// The instances' watches, and what each reported when; empty unless followers are watched.
@@ -78,17 +82,24 @@
         group
     }
 
+    /// A group that other instances may join, all of whose instances have just started.
+    pub fn unfounded(size: u64) -> Self {
+        Self::build(size, &[], Some((1..=size).collect()))
+    }
+
     fn build(size: u64, disabled_guards: &[RaftGuard], founders: Option<Vec<u64>>) -> Self {
         let mut group = Self {
             now: Millis(1),
             instances: BTreeMap::new(),
             net: VecDeque::new(),
             isolated: Vec::new(),
+            cut: Vec::new(),
             answers: BTreeMap::new(),
             disabled_guards: disabled_guards.to_vec(),
             target_size: founders.as_ref().map_or(0, Vec::len),
             founders,
             founded: false,
+            disks_lost: Vec::new(),
             no_bulk_to: Vec::new(),
             watches: BTreeMap::new(),
             reports: Vec::new(),
@@ -157,7 +168,8 @@
         instance.syncs_complete = true;
         let mut raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
         if let Some(founders) = &self.founders {
-            let founder = !self.founded && founders.contains(&id);
+            let is_allowed = !self.founded && !self.disks_lost.contains(&id);
+            let founder = is_allowed && founders.contains(&id);
             raft = raft.allow_joining(founder, self.target_size);
         }
         let mut control = Control::new(raft).unwrap();
@@ -186,12 +198,18 @@
 
     /// Restarts the instance with an empty disk.
     pub fn lose_disk(&mut self, id: u64) {
+        self.wipe(id);
+        self.start(id);
+    }
+
+    /// Kills the instance and replaces its disk by an empty one.
+    pub fn wipe(&mut self, id: u64) {
         self.kill(id);
         self.last_disk += 1;
         let instance = self.instances.get_mut(&id).unwrap();
         instance.records.clear();
         instance.disk = DiskId(self.last_disk);
-        self.start(id);
+        self.disks_lost.push(id);
     }
 
     pub fn control(&self, id: u64) -> &Control {
@@ -277,6 +295,9 @@
 
     fn is_deliverable(&self, message: &Message) -> bool {
         let ends = [message.from.0, message.to.0];
+        if self.cut.contains(&(message.from.0, message.to.0)) {
+            return false;
+        }
         let up = self.instances.get(&message.to.0);
         let up = up.is_some_and(|i| i.control.is_some() && !i.suspended);
         let is_bulk = match &message.body {
