--- a/src/dispatch/late_calls.rs
+++ b/src/dispatch/late_calls.rs
@@ -21,6 +21,8 @@
 /// How long a late call waits for the end of its connection, in milliseconds: some round trips to
 /// a caller, since a lost packet is followed by the end only once it was sent again.
 const CONFIRM_WAIT: Millis = Millis(20);
+/// Longest further wait of a late call in an entry that pauses again and again, in milliseconds.
+const MAX_FURTHER_WAIT: Millis = Millis(100);
 /// Longest time between two turns of an entry, in milliseconds, in which it reads what has arrived
 /// on its callers' connections. It ticks every 20 ms.
 const MAX_GAP: Millis = Millis(40);
@@ -133,29 +135,42 @@
         self.open_call(incoming.token, open);
     }
 
-    /// True if a call is about to be released. The ends of callers' connections must be
-    /// passed on before.
-    pub(crate) fn has_due_calls(&self, now: Millis) -> bool {
+    /// True if late calls, or jobs that were kept back after a pause, are about to be ordered. The
+    /// ends of callers' connections must be passed on before.
+    pub(crate) fn may_order_late(&self, now: Millis) -> bool {
+        let was_paused = now.since(self.gaps.orders_from) <= MAX_GAP;
+        was_paused || self.has_due_calls(now)
+    }
+
+    fn has_due_calls(&self, now: Millis) -> bool {
         self.held_calls > 0
-            && self.open_calls.iter().any(
-                |(_, open)| matches!(open.route, CallRoute::Held { until, .. } if now >= until),
-            )
+            && self
+                .open_calls
+                .iter()
+                .any(|(_, open)| self.is_due(now, open))
+    }
+
+    /// True for a late call whose caller's end had time to arrive.
+    fn is_due(&self, now: Millis, open: &OpenCall) -> bool {
+        let CallRoute::Held { until, .. } = open.route else {
+            return false;
+        };
+        now >= until.max(self.gaps.late_orders_from) || now >= until + MAX_FURTHER_WAIT
     }
 
     /// Ends a turn. Returns true if tasks may be ordered now.
     pub(super) fn end_turn(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) -> bool {
         let limit = self.late_after();
         self.gaps.end_turn(now, limit);
-        if now >= self.gaps.late_orders_from && self.has_due_calls(now) {
+        if self.has_due_calls(now) {
             self.release_held(now, out);
         }
         now >= self.gaps.orders_from
     }
 
     fn release_held(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
-        let due = self.open_calls.iter().filter(
-            |(_, open)| matches!(open.route, CallRoute::Held { until, .. } if now >= until),
-        );
+        let calls = self.open_calls.iter();
+        let due = calls.filter(|(_, open)| self.is_due(now, open));
         let due: Vec<_> = due.map(|(token, _)| *token).collect();
         for token in due {
             let Some(open) = self.open_calls.remove(&token) else {
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -241,7 +241,7 @@
             }
             let flushed_at = self.clock.now();
             // The notice that a caller has left may still wait in the queue.
-            if self.router.has_due_calls(flushed_at) {
+            if self.router.may_order_late(flushed_at) {
                 self.withdraw_left(flushed_at, &mut out);
             }
             self.router.flush(flushed_at, unix_now(), &mut out);
--- a/src/shell/clock.rs
+++ b/src/shell/clock.rs
@@ -11,19 +11,33 @@
 /// It includes the time in which the machine is suspended, so that the leases of a process have
 /// expired when it resumes after a long suspension.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Clock {
+pub struct Clock {
     started_at: u64,
 }
 
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Clock {
-    pub(crate) fn new() -> Self {
+    /// Starts a clock.
+    ///
+    /// ```
+    /// let clock = fulmardrift::Clock::new();
+    /// assert!(clock.now() >= fulmardrift::Millis(1));
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
         Self {
             started_at: boot_millis(),
         }
     }
 
     /// Milliseconds since the start, plus one so that no reading is zero.
-    pub(crate) fn now(self) -> Millis {
+    #[must_use]
+    pub fn now(self) -> Millis {
         Millis(
             boot_millis()
                 .saturating_sub(self.started_at)
