Offer free room by the smallest run, and to all once nobody takes it

Found by the review of the offers, by reading: places were counted in units of the largest run that is held, so that room beside a large run was offered to nobody, and the dispatchers that were last told of a full backend server, the group's leader too, did not use it until that run ended. With many entries an offer took a round for each until it reached one that had work.

Places are counted in units of the smallest run; room is offered to all when no run has started or ended for 100 ms; the count is bounded by the number of dispatchers. The new test of room beside a large run holds on the former code too: the sequence was not reproduced.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -152,6 +152,9 @@
     pub(crate) least_free: usize,
     // The dispatchers that were last told in their turn that the others use less, and more.
     pub(crate) last_offered: Option<Owner>,
+    // What all runs used after the last input, and when that changed.
+    pub(crate) last_used: Resources,
+    pub(crate) usage_changed_at: Millis,
     pub(crate) last_informed: Option<Owner>,
     pub(crate) answer_times: AnswerTimes,
     pub(crate) ejection: Ejection,
@@ -199,6 +202,8 @@
             usage_report_due: false,
             least_free: 0,
             last_offered: None,
+            last_used: Resources::default(),
+            usage_changed_at: Millis(0),
             last_informed: None,
             answer_times: AnswerTimes::new(),
             ejection: Ejection::default(),
@@ -247,7 +252,7 @@
             ServerAgentInput::Replied(id, reply) => self.on_reply(now, id, reply, out),
             ServerAgentInput::Tick => self.tick(now, out),
         }
-        self.update_least_free();
+        self.note_usage(now);
         self.report_usage(now, out);
     }
 
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -5,7 +5,7 @@
 use super::agent_run::{AgentRun, RunPhase};
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::guard::JobGuard;
-use super::spec::{RunId, RunOutcome, TaskId};
+use super::spec::{Resources, RunId, RunOutcome, TaskId};
 use super::wire::AgentReport;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -24,6 +24,9 @@
 /// agent's reports are then bounded however many there are. A round offers a free place to one of
 /// them only, and the next one to another, unless it has been taken by then.
 const USAGE_INTERVAL: Millis = Millis(8);
+/// Free room is offered to all dispatchers when no run has started or ended for this long, in
+/// milliseconds; under load, it is taken sooner.
+const UNCLAIMED_AFTER: Millis = Millis(100);
 /// An inherited run or end is abandoned if no dispatcher has claimed it after this long.
 /// Dispatchers reopen their sessions within that time; until then the worker's lease cannot be
 /// extended.
@@ -50,9 +53,8 @@
             self.send_hold(now, max_wait, out);
         }
         self.send_extra_hold(now, out);
-        let stop_retry = STOP_RETRY.max(self.answer_times.wait());
         let overdue = |agent_run: &AgentRun| {
-            agent_run.phase == RunPhase::Stopping && now.since(agent_run.changed_at) >= stop_retry
+            agent_run.phase == RunPhase::Stopping && now.since(agent_run.changed_at) >= STOP_RETRY
         };
         let overdue: Vec<_> = self
             .runs
@@ -82,8 +84,8 @@
 
     /// Sends a hold call that does not wait for an end, in case the open one is never answered.
     fn send_extra_hold(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        let is_overdue = now.since(self.last_hold_answered_at.max(self.last_hold_sent_at))
-            >= EXTRA_HOLD_AFTER.max(self.answer_times.wait());
+        let is_overdue =
+            now.since(self.last_hold_answered_at.max(self.last_hold_sent_at)) >= EXTRA_HOLD_AFTER;
         if is_overdue && self.open_holds > 0 && !self.runs.is_empty() {
             self.send_hold(now, Millis(0), out);
         }
@@ -215,9 +217,12 @@
         rotate_after(&mut offered, self.last_offered);
         rotate_after(&mut informed, self.last_informed);
         // A place that has come free since the last round is left to the dispatcher whose run ended
-        // there: it learns that first and may have ordered already.
-        let places = self.free_places(max_reports);
+        // there: it learns that first and may have ordered already. Room that nobody takes is
+        // offered to all.
+        let places = self.free_places(due);
         let offers = std::mem::replace(&mut self.least_free, places);
+        let is_unclaimed = now.since(self.usage_changed_at) >= UNCLAIMED_AFTER;
+        let offers = if is_unclaimed { due } else { offers };
         offered.truncate(offers.min(max_reports));
         informed.truncate(max_reports - offered.len());
         self.usage_report_due = due > offered.len() + informed.len();
@@ -228,19 +233,27 @@
         }
     }
 
-    /// Updates the least number of free places since the last round of reports.
-    pub(crate) fn update_least_free(&mut self) {
+    /// Updates what the next round of reports goes by: when the usage last changed, and the least
+    /// number of free places since the last round.
+    pub(crate) fn note_usage(&mut self, now: Millis) {
+        let used = self.used(None);
+        if used != self.last_used {
+            self.last_used = used;
+            self.usage_changed_at = now;
+        }
         if self.least_free > 0 {
             self.least_free = self.free_places(self.least_free);
         }
     }
 
     /// Number of further runs, up to `limit`, for which there is room, if each needs as much as the
-    /// largest that is held.
+    /// smallest that is held.
     fn free_places(&self, limit: usize) -> usize {
         let needs = self.runs.iter().map(|(_, agent_run)| agent_run.need);
-        let largest = needs.max_by_key(|need| need.cpu);
-        let (Some(need), Some(server)) = (largest, &self.server) else {
+        let smallest = needs
+            .filter(|need| *need != Resources::default())
+            .min_by_key(|need| need.cpu);
+        let (Some(need), Some(server)) = (smallest, &self.server) else {
             return limit;
         };
         let mut used = self.used(None);
--- a/tests/patterns/overload_of_many_entries.rs
+++ b/tests/patterns/overload_of_many_entries.rs
@@ -82,3 +82,26 @@
         assert_eq!(callers.fleet.overlaps(), []);
     }
 }
+
+/// Guards against room that is offered to nobody because it is smaller than the largest run that is
+/// held: jobs of other entries, which were last told of a full backend server, waited until that run
+/// ended.
+#[test]
+fn free_room_beside_a_large_run_is_offered() {
+    let sized = |cpu: u32| {
+        let mut spec = job(1, WORK_MS, true);
+        spec.steps[0].need.cpu = cpu;
+        spec
+    };
+    let mut fleet = Fleet::new(3, 1, 60_000);
+    fleet.call(0, 1, submit(JobId(1), sized(2_500)), 60_000);
+    fleet.run(100);
+    fleet.agents[0].server.work = Millis(WORK_MS);
+    for id in 2..=4 {
+        fleet.call(1, id, submit(JobId(id), sized(500)), WAIT_MS);
+    }
+    fleet.run(WORK_MS + 10);
+    fleet.call(2, 5, submit(JobId(5), sized(1_500)), WAIT_MS);
+    fleet.run(WORK_MS + 400);
+    assert_eq!(fleet.answer(2, 5), Some(&COMPLETED));
+}
