--- a/tests/final_fault.rs
+++ b/tests/final_fault.rs
@@ -163,11 +163,10 @@
     }
 
     fn check(&mut self) -> Result<(), String> {
-        let limit = RECOVERY;
-        if !self.group.run_until(limit, |g| g.leader().is_some()) {
+        let end = self.group.now + RECOVERY;
+        if !self.group.run_until(RECOVERY, |g| g.leader().is_some()) {
             return Err(format!("no leader: {}", self.group.describe()));
         }
-        let end = self.group.now + limit;
         let mut read = None;
         while self.group.now < end && read.is_none() {
             read = self.group.version_in_force();
