Log each call of an operator at the instance that it reached

The logs could not tell whether the operator's calls were lost before an instance, redirected to one that was frozen, or answered.

E320 has what was asked, the outcome, how long it took, and the leader at that moment.

--- a/src/dispatch/call.rs
+++ b/src/dispatch/call.rs
@@ -1,5 +1,7 @@
 //! Calls from clients and operators, and the replies to them.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use super::spec::{JobSpec, JobStatus, OperatorConfig};
@@ -67,6 +69,26 @@
     Unknown,
 }
 
+impl fmt::Display for Call {
+    /// Writes what identifies the call in a log line.
+    ///
+    /// ```
+    /// use fulmardrift::Call;
+    /// assert_eq!(Call::Evacuate("dc1".to_owned(), true).to_string(), "evacuate data_centre=dc1 out=true");
+    /// ```
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Client { host, path, .. } => write!(f, "client host={host} path={path:?}"),
+            Self::PutConfig(Some(config)) => write!(f, "put-config version={}", config.version),
+            Self::PutConfig(None) => f.write_str("put-config version=none"),
+            Self::GetConfig => f.write_str("get-config"),
+            Self::Evacuate(data_centre, out) => {
+                write!(f, "evacuate data_centre={data_centre} out={out}")
+            }
+        }
+    }
+}
+
 impl CallReply {
     /// A short name for the reply, used as a metrics label.
     #[must_use]
--- a/src/events.rs
+++ b/src/events.rs
@@ -81,6 +81,8 @@
     VOTER_SILENT = 317 Warn "voter-silent";
     /// This control instance's own log is empty or lacks committed entries.
     LOG_BEHIND = 318 Warn "log-behind";
+    /// A control instance answered a call of an operator, or passed it on to the leader.
+    OPERATOR_CALL = 320 Info "operator-call";
     /// An entry has connected to an agent.
     LINK_UP = 400 Debug "link-up";
     /// An entry's connection to an agent is closed or silent.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -106,6 +106,7 @@
 #[derive(Debug, Clone)]
 pub struct ControlNode {
     tx: mpsc::Sender<Event>,
+    clock: Clock,
     leader: Arc<Mutex<Option<SocketAddrV4>>>,
 }
 
@@ -180,12 +181,25 @@
             "control address={} founder={founder} log_opened_ms={} file_bound={bound}",
             cfg.address, open_duration.0
         ));
-        Ok(Self { tx, leader })
+        Ok(Self { tx, clock, leader })
     }
 
     /// Passes a call to this instance and waits for its answer. Returns [`CallReply::NotLeader`] if
     /// the instance has stopped, and [`CallReply::Unknown`] if it stops before it has answered.
     pub async fn call(&self, call: Call) -> CallReply {
+        let (name, received_at) = (call.to_string(), self.clock.now());
+        let reply = self.pass_call(call).await;
+        let leader = self.leader().map(|address| address.to_string());
+        events::OPERATOR_CALL.log(format_args!(
+            "{name} outcome={} took_ms={} leader={}",
+            reply.name(),
+            self.clock.now().since(received_at).0,
+            leader.as_deref().unwrap_or("none")
+        ));
+        reply
+    }
+
+    async fn pass_call(&self, call: Call) -> CallReply {
         let (tx, rx) = oneshot::channel();
         if self.tx.send(Event::Call(call, tx)).await.is_err() {
             return CallReply::NotLeader;
