Found a group by a majority of its founders, from a first configuration that each can compute

Callers saw a system that never starts: no leader, no request served and no change taken, while one of the instances that found the group is away, frozen, or has lost its disk in the first moments. The founder with the lowest id founded, and only once it had heard from all others.

The first disk of a founder now has an identity that is a hash of the founders and its own id. So all founders start from the same voters without a message, and Raft does the rest: a majority elects, and the first leader's first entry names the voters. The entry has the leader's term: an entry at (1, 1) that each founder writes by itself would equal, by position, that of an instance that was told other seeds, and the log of the group would be accepted after it.

The identity is used by one log only. A mark is written before the log, and is durably taken back once the log exists, before anything rests on the identity; also before a damaged log is set aside.

Groups that nobody joins (the configuration file, no first start in it) are founded as before: there, nothing tells a lost disk from a first start. What their empty replicas confirm is no longer kept among the votes.

The fakes give founders' first disks the identities that the program gives them, and other disks others.

E319 founded is new; E307 has founder=.

--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -1,6 +1,6 @@
 //! Leader elections: pre-vote, vote and change of role.
 
-use super::log::{Index, Payload, Position, ReplicaId, Term, Voter};
+use super::log::{Index, Position, ReplicaId, Term, Voter};
 use super::message::{Body, ElectionCause};
 use super::progress::Progress;
 use super::raft::{DiskHealth, Raft, RaftGuard, RaftOutput, RaftRole};
@@ -233,7 +233,8 @@
             let progress = Progress::new(self.log.last().index.next(), now);
             self.progress.insert(peer, progress);
         }
-        let first = self.append_own(now, vec![Payload::Noop], out);
+        let payload = self.first_payload();
+        let first = self.append_own(now, vec![payload], out);
         self.term_start = first.index;
     }
 
--- a/src/control/join.rs
+++ b/src/control/join.rs
@@ -7,12 +7,13 @@
 
 impl Raft {
     /// Lets replicas join that are not among the configured peers, until the group has `target`
-    /// voters; from then on they replace voters that are gone. Only a `founder` may found a group.
+    /// voters; from then on they replace voters that are gone. This replica and the configured peers
+    /// found the group, if it runs with the disk that [`first_disk`](crate::first_disk) names.
     #[must_use]
-    pub fn allow_joining(mut self, founder: bool, target: usize) -> Self {
+    pub fn allow_joining(mut self, target: usize) -> Self {
         self.joining_allowed = true;
-        self.founder = founder;
         self.target_size = target;
+        self.join_founders();
         self
     }
 
@@ -54,7 +55,7 @@
         }
     }
 
-    /// The voters of the group or, while there is no group, all known replicas.
+    /// The voters of the group or, while none are known, all known replicas.
     #[must_use]
     pub fn members(&self) -> Vec<ReplicaId> {
         let voters = self.log.voters().0;
--- a/src/control/leader_watch.rs
+++ b/src/control/leader_watch.rs
@@ -117,11 +117,12 @@
     fn log_report(&mut self, silence: Millis, raft: &Raft) {
         let voters = raft.voters();
         events::NO_LEADER.log(format_args!(
-            "silent_ms={} term={} role={:?} votes_valid={} needed={} log_end={} missing={} \
+            "silent_ms={} term={} role={:?} founder={} votes_valid={} needed={} log_end={} missing={} \
              given={} voters={}",
             silence.0,
             raft.term().0,
             raft.role(),
+            raft.is_founder(),
             self.reported.given.len(),
             voters.len() / 2 + 1,
             raft.last().index.0,
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -133,7 +133,8 @@
         /// Identity of the receiver's disk, if the sender knows it.
         known_disk: Option<DiskId>,
     },
-    /// Founds a group with these voters as the first entry of its log.
+    /// Founds a group that nobody joins, with these voters as the first entry of its log. Ignored
+    /// where replicas may join: only former versions send it there.
     FoundGroup {
         /// The voters.
         voters: Vec<Voter>,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod follower;
 pub(crate) mod follower_metrics;
 pub(crate) mod follower_watch;
+pub(crate) mod founding;
 pub(crate) mod join;
 pub(crate) mod leader_watch;
 pub(crate) mod log;
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -136,9 +136,10 @@
     pub(crate) election_due_at: Millis,
     // When this replica last asked for pre-votes.
     pub(crate) pre_vote_at: Millis,
-    // Votes or pre-votes for this replica. While its log is empty: the empty peers that know this
-    // replica's disk.
+    // Votes or pre-votes for this replica.
     pub(crate) votes: Vec<Voter>,
+    // The empty peers that know this replica's disk, where nobody joins and its own log is empty.
+    pub(crate) confirmations: Vec<Voter>,
     // Voters that have heard from no leader since they started; `None` once this replica has heard
     // from one.
     pub(crate) leaderless_voters: Option<Vec<Voter>>,
@@ -229,6 +230,7 @@
             election_due_at: now,
             pre_vote_at: now,
             votes: Vec::new(),
+            confirmations: Vec::new(),
             leaderless_voters: Some(Vec::new()),
             progress: Table::default(),
             partial: None,
@@ -392,7 +394,9 @@
         self.add_voters_as_peers(now);
         if self.log.is_empty() {
             self.empty_replica_tick(now, out);
-            return;
+            if !self.is_voter() {
+                return;
+            }
         }
         match self.role {
             RaftRole::Leader => self.leader_tick(now, out),
--- a/src/control/repair.rs
+++ b/src/control/repair.rs
@@ -1,15 +1,12 @@
-//! Founding a group, and changing its voters after a disk was lost or a replica joined.
+//! Changing the voters after a disk was lost or a replica joined.
 //!
-//! A replica with an empty log starts no election, and its vote does not count unless the log of
-//! the candidate names its disk. A group is founded only when every configured replica is empty
-//! and has confirmed this to the current disk of the founding replica. In an existing group a
-//! replica with a new disk first catches up. Then one log entry removes its former disk from the
-//! voters and a second one adds the new disk, so that the majorities before and after each step
-//! overlap. A silent voter makes place for another replica in the same way. The number of voters
-//! does not exceed the target size.
+//! In an existing group a replica with a new disk first catches up. Then one log entry removes its
+//! former disk from the voters and a second one adds the new disk, so that the majorities before and
+//! after each step overlap. A silent voter makes place for another replica in the same way. The
+//! number of voters does not exceed the target size.
 
-use super::log::{DiskId, Index, LogEntry, Payload, Position, ReplicaId, Term, Voter};
-use super::message::{Body, Message};
+use super::log::{Index, Payload, ReplicaId, Voter};
+use super::message::Body;
 use super::progress::{FollowerState, LOWEST_RATE, Progress};
 use super::raft::{Raft, RaftGuard, RaftOutput};
 use crate::core::clock::Millis;
@@ -24,175 +21,6 @@
 const SILENT_AFTER: Millis = Millis(2_000);
 
 impl Raft {
-    /// Regular work of a replica with an empty log: announces itself to all peers.
-    pub(crate) fn empty_replica_tick(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
-        if now < self.last_heartbeat_at + self.timing.heartbeat {
-            return;
-        }
-        self.last_heartbeat_at = now;
-        for to in self.peers.clone() {
-            let known_disk = self.empty_peers.get(&to).copied();
-            self.send(
-                to,
-                Body::Hello {
-                    empty: true,
-                    known_disk,
-                },
-                out,
-            );
-        }
-        self.try_found_group(out);
-    }
-
-    pub(crate) fn on_hello(
-        &mut self,
-        now: Millis,
-        from: Voter,
-        empty: bool,
-        known_disk: Option<DiskId>,
-        out: &mut Vec<RaftOutput>,
-    ) {
-        if !self.log.is_empty() {
-            if empty {
-                self.empty_peers.insert(from.id, from.disk);
-            }
-            self.answer_hello(from, empty, out);
-            self.relay_hello(now, from, empty, out);
-            return;
-        }
-        if !empty {
-            // The group exists; its leader will send this replica the log.
-            self.empty_peers.remove(&from.id);
-            return;
-        }
-        self.empty_peers.insert(from.id, from.disk);
-        if known_disk != Some(self.disk) {
-            return;
-        }
-        self.confirm_empty_peer(from);
-        self.try_found_group(out);
-    }
-
-    /// Passes an announcement on to the leader, which the sender may not know. Only a leader heard
-    /// from lately gets it, so that it is not passed around.
-    fn relay_hello(&self, now: Millis, from: Voter, empty: bool, out: &mut Vec<RaftOutput>) {
-        let Some(leader) = self.leader.filter(|leader| *leader != from.id) else {
-            return;
-        };
-        let is_current = now < self.last_heard_at + self.timing.heartbeat + self.timing.heartbeat;
-        if self.is_leader() || !is_current {
-            return;
-        }
-        out.push(RaftOutput::Send(Message {
-            from: from.id,
-            disk: from.disk,
-            to: leader,
-            body: Body::Hello {
-                empty,
-                known_disk: None,
-            },
-        }));
-    }
-
-    fn answer_hello(&self, from: Voter, empty: bool, out: &mut Vec<RaftOutput>) {
-        if !empty {
-            return;
-        }
-        let first_index = Index(1);
-        let first = self.log.get(first_index).map(|e| &e.payload);
-        if let Some(Payload::Voters(voters)) = first
-            && voters.contains(&from)
-        {
-            // The peer missed the message that founded the group.
-            self.send(
-                from.id,
-                Body::FoundGroup {
-                    voters: voters.clone(),
-                },
-                out,
-            );
-            return;
-        }
-        self.send(
-            from.id,
-            Body::Hello {
-                empty: false,
-                known_disk: Some(from.disk),
-            },
-            out,
-        );
-    }
-
-    /// Records that an empty peer knows this replica's current disk. The confirmations are kept in
-    /// `votes`, which an empty replica does not need for elections.
-    fn confirm_empty_peer(&mut self, from: Voter) {
-        if !self.votes.contains(&from) {
-            self.votes.retain(|v| v.id != from.id);
-            self.votes.push(from);
-        }
-    }
-
-    /// Founds the group if this replica has the lowest id and all others are known to be empty.
-    fn try_found_group(&mut self, out: &mut Vec<RaftOutput>) {
-        if !self.founder {
-            return;
-        }
-        let is_lowest = self.peers.iter().all(|peer| *peer > self.id);
-        let all_empty = self.peers.iter().all(|peer| {
-            let confirmed =
-                |v: &Voter| v.id == *peer && self.empty_peers.get(peer) == Some(&v.disk);
-            self.votes.iter().any(confirmed)
-        });
-        if !is_lowest || !all_empty {
-            return;
-        }
-        let mut voters = self.votes.clone();
-        voters.push(Voter {
-            id: self.id,
-            disk: self.disk,
-        });
-        voters.sort_unstable();
-        self.votes.clear();
-        for to in self.peers.clone() {
-            self.send(
-                to,
-                Body::FoundGroup {
-                    voters: voters.clone(),
-                },
-                out,
-            );
-        }
-        self.write_first_entry(voters, out);
-    }
-
-    pub(crate) fn on_found_group(&mut self, voters: Vec<Voter>, out: &mut Vec<RaftOutput>) {
-        let own = Voter {
-            id: self.id,
-            disk: self.disk,
-        };
-        if self.log.is_empty() && voters.contains(&own) {
-            self.write_first_entry(voters, out);
-        }
-    }
-
-    /// Writes the first log entry, which is the same on every replica that founds the group.
-    fn write_first_entry(&mut self, voters: Vec<Voter>, out: &mut Vec<RaftOutput>) {
-        self.votes.clear();
-        self.term = self.term.max(Term(1));
-        self.write_vote(out);
-        let position = Position {
-            term: Term(1),
-            index: Index(1),
-        };
-        self.append(
-            vec![LogEntry {
-                position,
-                payload: Payload::Voters(voters),
-            }],
-            out,
-        );
-    }
-
     /// Proposes the next change of the voters, one at a time.
     pub(crate) fn update_voters(&mut self, now: Millis, out: &mut Vec<RaftOutput>) {
         let (_, changed_at) = self.log.voters();
--- a/src/events.rs
+++ b/src/events.rs
@@ -81,6 +81,8 @@
     VOTER_SILENT = 317 Warn "voter-silent";
     /// This control instance's own log is empty or lacks committed entries.
     LOG_BEHIND = 318 Warn "log-behind";
+    /// A control instance wrote the first entry of a group's log.
+    FOUNDED = 319 Info "founded";
     /// An entry has connected to an agent.
     LINK_UP = 400 Debug "link-up";
     /// An entry's connection to an agent is closed or silent.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 };
 pub use crate::control::follower::Follower;
 pub use crate::control::follower_watch::{FollowerReport, FollowerWatch};
+pub use crate::control::founding::first_disk;
 pub use crate::control::leader_watch::{LeaderWatch, MissingVote, VoteCount};
 pub use crate::control::log::{
     DiskId, Index, LogEntry, Payload, Position, Record, ReplicaId, Snapshot, Term, Voter,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -12,10 +12,11 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::address::{listen_address, replica_address, replica_id};
-use super::disk::{OpenLog, file_bound, open_log};
+use super::disk::{NewDisk, OpenLog, file_bound, open_log};
 use super::link::{self, Link, LinkEvent, Origin};
 use super::listen::listen;
 use super::sessions::{self, SessionEvent, SessionQueues};
+use crate::control::founding::first_disk;
 use crate::control::log::{DiskId, ReplicaId};
 use crate::control::message::Message;
 use crate::control::raft::{Raft, RaftInput, RaftOutput, RaftTiming};
@@ -27,7 +28,6 @@
 use crate::dispatch::wire::{Initiator, InitiatorMessage};
 use crate::events;
 use crate::shell::clock::Clock;
-use crate::store::founding::FounderMark;
 use crate::store::wal::WalError;
 use crate::store::writer::{Batch, start_writer};
 
@@ -83,7 +83,7 @@
     /// Addresses of instances to contact first; may include this one.
     pub seeds: Vec<SocketAddrV4>,
     /// True at the very first start of the system; ignored unless `seeds` includes this instance.
-    /// It is kept in the data directory, as the instance may be restarted before the group exists.
+    /// It is kept in the data directory, as the instance may be restarted before its log exists.
     pub founder: bool,
     /// Number of instances that may be lost, with their disks, at the same time.
     pub tolerated_losses: usize,
@@ -124,31 +124,27 @@
     pub async fn start(cfg: ControlNodeConfig) -> Result<Self, ControlStartError> {
         let clock = Clock::new();
         let open_started_at = clock.now();
-        let new_disk_id = DiskId(rand::rng().random_range(1..u64::MAX));
-        let opened = open_log(&cfg.data, new_disk_id).await;
-        let OpenLog {
-            wal,
-            durable,
-            was_damaged,
-        } = opened.context(DataLogSnafu)?;
-        let open_duration = clock.now().since(open_started_at);
         let own_id = replica_id(cfg.address);
         let seed_ids: Vec<ReplicaId> = cfg.seeds.iter().map(|seed| replica_id(*seed)).collect();
-        // What a damaged log held may have been acknowledged.
-        let is_first_start = cfg.founder && !was_damaged;
-        let mark = FounderMark {
-            disk: durable.disk,
-            seeds: cfg.seeds.clone(),
+        let new_disk = NewDisk {
+            random: DiskId(rand::rng().random_range(1..u64::MAX)),
+            first: seed_ids
+                .contains(&own_id)
+                .then(|| first_disk(&seed_ids, own_id)),
+            is_first_start: cfg.founder,
         };
-        // Kept before the process waits for its address.
-        let founder = seed_ids.contains(&own_id) && mark.may_found(&cfg.data, is_first_start);
+        // Before the process waits for its address, as it may be killed meanwhile.
+        let opened = open_log(&cfg.data, new_disk).await;
+        let OpenLog { wal, durable } = opened.context(DataLogSnafu)?;
+        let open_duration = clock.now().since(open_started_at);
         let address = listen_address(cfg.address, cfg.bind_ip);
         let listener = listen(address).await.context(ListenSnafu { address })?;
         let peers = seed_ids.into_iter().filter(|id| *id != own_id).collect();
         let seed = rand::rng().random();
         let target_size = cfg.seeds.len().max(2 * cfg.tolerated_losses + 1);
-        let raft = Raft::new(own_id, peers, TIMING, durable, clock.now(), seed)
-            .allow_joining(founder, target_size);
+        let raft =
+            Raft::new(own_id, peers, TIMING, durable, clock.now(), seed).allow_joining(target_size);
+        let founder = raft.is_founder();
         let bound = file_bound(cfg.disk, &cfg.data);
         let replica = Replica::new(raft, cfg.times).map_err(|e| ControlStartError::DataState {
             message: e.to_string(),
--- a/src/node/disk.rs
+++ b/src/node/disk.rs
@@ -9,6 +9,7 @@
 use crate::control::log::DiskId;
 use crate::control::raft::Durable;
 use crate::events;
+use crate::store::founding::FounderMark;
 use crate::store::frame::FrameError;
 use crate::store::log_directory::LogDirectory;
 use crate::store::wal::{Wal, WalError};
@@ -24,14 +25,23 @@
 pub(crate) struct OpenLog {
     pub(crate) wal: Wal<LogDirectory>,
     pub(crate) durable: Durable,
-    /// This or an earlier start set a damaged log aside.
-    pub(crate) was_damaged: bool,
+}
+
+/// What a new log's identity depends on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NewDisk {
+    /// An identity that no other disk has.
+    pub(crate) random: DiskId,
+    /// The identity of the first disk, if this instance is a founder.
+    pub(crate) first: Option<DiskId>,
+    /// True at the very first start.
+    pub(crate) is_first_start: bool,
 }
 
 /// Opens the log in the data directory. Waits while the disk is full. A damaged log is set aside:
-/// its disk counts as lost, and the empty log gets the identity `new_disk`, so that no vote rests
-/// on what the damaged one held. A log of a version that this one does not know is left alone.
-pub(crate) async fn open_log(data: &Path, new_disk: DiskId) -> Result<OpenLog, WalError> {
+/// its disk counts as lost, and the empty log gets a random identity, so that no vote rests on what
+/// the damaged one held. A log of a version that this one does not know is left alone.
+pub(crate) async fn open_log(data: &Path, new_disk: NewDisk) -> Result<OpenLog, WalError> {
     let mut is_first_try = true;
     loop {
         match try_open(data, new_disk) {
@@ -47,28 +57,48 @@
     }
 }
 
-fn try_open(data: &Path, new_disk: DiskId) -> Result<OpenLog, WalError> {
-    let opened = Wal::open(open_directory(data)?, new_disk);
-    let (wal, durable) = match opened {
+fn try_open(data: &Path, new_disk: NewDisk) -> Result<OpenLog, WalError> {
+    let directory = open_directory(data)?;
+    let identity = choose_identity(data, &directory, new_disk)?;
+    let (wal, durable) = match Wal::open(directory, identity) {
         Err(
             error @ WalError::Damage {
                 source: FrameError::Damaged { .. },
             },
         ) => {
+            // First, as a crash may come in between: the identity of a lost log is not used again.
+            take_back_mark(data)?;
             let directory = open_directory(data)?;
             directory
                 .set_aside()
                 .map_err(|source| io_error("set aside", source))?;
             events::LOG_DAMAGED.log(format_args!("{error}"));
-            Wal::open(directory, new_disk)?
+            Wal::open(directory, new_disk.random)?
         }
         other => other?,
     };
-    Ok(OpenLog {
-        wal,
-        durable,
-        was_damaged: open_directory(data)?.has_damaged(),
-    })
+    take_back_mark(data)?;
+    Ok(OpenLog { wal, durable })
+}
+
+/// The identity for a log that does not exist yet.
+fn choose_identity(
+    data: &Path,
+    directory: &LogDirectory,
+    new_disk: NewDisk,
+) -> Result<DiskId, WalError> {
+    let Some(disk) = new_disk.first.filter(|_| !directory.has_damaged()) else {
+        return Ok(new_disk.random);
+    };
+    let mark = FounderMark { disk };
+    let is_unused = mark
+        .is_unused(data, new_disk.is_first_start)
+        .map_err(|source| io_error("read or write the mark of", source))?;
+    Ok(if is_unused { disk } else { new_disk.random })
+}
+
+fn take_back_mark(data: &Path) -> Result<(), WalError> {
+    FounderMark::take_back(data).map_err(|source| io_error("take back the mark of", source))
 }
 
 fn open_directory(data: &Path) -> Result<LogDirectory, WalError> {
--- a/tests/deadly_stored_tasks.rs
+++ b/tests/deadly_stored_tasks.rs
@@ -41,7 +41,7 @@
     }
     group.run(300);
     for at in 0..3 {
-        group.start(at, false);
+        group.start(at);
     }
 }
 
@@ -90,7 +90,7 @@
         let leader = group.leader();
         group.kill(leader);
         group.run(1_500);
-        group.start(leader, false);
+        group.start(leader);
         group.run(500);
     }
     group.run(PLAY_MS / 4);
@@ -109,7 +109,7 @@
         let leader = group.leader();
         group.wipe(leader);
         group.run(200);
-        group.start(leader, false);
+        group.start(leader);
         group.run(2_000);
     }
     group.run(PLAY_MS / 4);
--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -8,7 +8,7 @@
     Accepted, Body, ChangeRequest, Command, CommandReply, Control, ControlAnswer, ControlInput,
     ControlOutput, DiskId, Durable, FollowerReport, FollowerWatch, Incarnation, Message, Millis,
     Raft, RaftGuard, RaftInput, RaftOutput, RaftTiming, Record, Rejected, ReplicaId, RequestId,
-    Revision, SettingChange, StateMachine, TimestampedCommand,
+    Revision, SettingChange, StateMachine, TimestampedCommand, first_disk,
 };
 
 pub const TICK: Millis = Millis(20);
@@ -48,13 +48,10 @@
     pub answers: BTreeMap<RequestId, ControlAnswer>,
     /// Safety rules that are turned off.
     pub disabled_guards: Vec<RaftGuard>,
-    /// Where other instances may join: those that founded the group, and whether they have.
+    /// Where other instances may join: those that found the group.
     pub founders: Option<Vec<u64>>,
     /// Number of voters that such a group should have; that of its founders when it is created.
     pub target_size: usize,
-    pub founded: bool,
-    /// Instances that lost a disk: what their settings allow at the first start went with it.
-    disks_lost: Vec<u64>,
     /// Instances to which no entry and no snapshot gets through, only other messages.
     pub no_bulk_to: Vec<u64>,
     /// The instances' watches, and what each reported when; empty unless followers are watched.
@@ -78,7 +75,6 @@
     pub fn joinable(size: u64, disabled_guards: &[RaftGuard]) -> Self {
         let mut group = Self::build(size, disabled_guards, Some((1..=size).collect()));
         group.run_until("a leader", |g| g.leader().is_some());
-        group.founded = true;
         group
     }
 
@@ -98,8 +94,6 @@
             disabled_guards: disabled_guards.to_vec(),
             target_size: founders.as_ref().map_or(0, Vec::len),
             founders,
-            founded: false,
-            disks_lost: Vec::new(),
             no_bulk_to: Vec::new(),
             watches: BTreeMap::new(),
             reports: Vec::new(),
@@ -107,7 +101,8 @@
             last_disk: 100,
         };
         for id in 1..=size {
-            group.insert_empty(id);
+            let disk = group.first_disk(id);
+            group.insert_empty(id, disk);
         }
         for id in 1..=size {
             group.start(id);
@@ -122,11 +117,24 @@
         group
     }
 
-    fn insert_empty(&mut self, id: u64) {
+    fn new_disk(&mut self) -> DiskId {
         self.last_disk += 1;
+        DiskId(self.last_disk)
+    }
+
+    /// The identity of the first disk of an instance.
+    fn first_disk(&mut self, id: u64) -> DiskId {
+        let Some(founders) = self.founders.as_ref().filter(|ids| ids.contains(&id)) else {
+            return self.new_disk();
+        };
+        let founders: Vec<_> = founders.iter().copied().map(ReplicaId).collect();
+        first_disk(&founders, ReplicaId(id))
+    }
+
+    fn insert_empty(&mut self, id: u64, disk: DiskId) {
         let instance = Instance {
             control: None,
-            disk: DiskId(self.last_disk),
+            disk,
             records: Vec::new(),
             unsynced: Vec::new(),
             syncs_complete: true,
@@ -137,7 +145,8 @@
 
     /// Starts a further instance with an empty disk, where instances may join.
     pub fn add(&mut self, id: u64) {
-        self.insert_empty(id);
+        let disk = self.new_disk();
+        self.insert_empty(id, disk);
         self.start(id);
     }
 
@@ -167,10 +176,8 @@
         instance.unsynced.clear();
         instance.syncs_complete = true;
         let mut raft = Raft::new(ReplicaId(id), peers, timing(), durable, now, id);
-        if let Some(founders) = &self.founders {
-            let is_allowed = !self.founded && !self.disks_lost.contains(&id);
-            let founder = is_allowed && founders.contains(&id);
-            raft = raft.allow_joining(founder, self.target_size);
+        if self.founders.is_some() {
+            raft = raft.allow_joining(self.target_size);
         }
         let mut control = Control::new(raft).unwrap();
         for guard in &self.disabled_guards {
@@ -205,11 +212,10 @@
     /// Kills the instance and replaces its disk by an empty one.
     pub fn wipe(&mut self, id: u64) {
         self.kill(id);
-        self.last_disk += 1;
+        let disk = self.new_disk();
         let instance = self.instances.get_mut(&id).unwrap();
         instance.records.clear();
-        instance.disk = DiskId(self.last_disk);
-        self.disks_lost.push(id);
+        instance.disk = disk;
     }
 
     pub fn control(&self, id: u64) -> &Control {
--- a/tests/fakes/slow_links.rs
+++ b/tests/fakes/slow_links.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use fulmardrift::{
     Body, DiskId, Durable, Message, Millis, Raft, RaftInput, RaftOutput, RaftTiming, Record,
-    ReplicaId,
+    ReplicaId, first_disk,
 };
 
 pub const TIMING: RaftTiming = RaftTiming {
@@ -126,7 +126,12 @@
 
     /// Starts a machine with an empty disk.
     pub fn add(&mut self, id: u64) {
-        let disk = DiskId(100 + id);
+        let disk = if self.founders.contains(&id) {
+            let founders: Vec<_> = self.founders.iter().copied().map(ReplicaId).collect();
+            first_disk(&founders, ReplicaId(id))
+        } else {
+            DiskId(100 + id)
+        };
         let raft = self.raft(id, disk, Vec::new());
         let machine = Machine {
             raft,
@@ -155,9 +160,8 @@
     fn raft(&self, id: u64, disk: DiskId, records: Vec<Record>) -> Raft {
         let peers = self.founders.iter().filter(|peer| **peer != id);
         let peers = peers.map(|peer| ReplicaId(*peer)).collect();
-        let is_founder = self.founders.contains(&id) && records.is_empty();
         let durable = Durable { disk, records };
-        Raft::new(ReplicaId(id), peers, TIMING, durable, self.now, id).allow_joining(is_founder, 3)
+        Raft::new(ReplicaId(id), peers, TIMING, durable, self.now, id).allow_joining(3)
     }
 
     /// Drops all that is on the links of a machine.
--- a/tests/fakes/stored.rs
+++ b/tests/fakes/stored.rs
@@ -9,6 +9,7 @@
     Durable, Initiator, InitiatorMessage, JobGuard, JobId, Millis, Owner, Raft, RaftOutput,
     RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, Resources,
     Server, ServerAgent, ServerAgentInput, ServerAgentOutput, ServerReply, SessionId, Term,
+    first_disk,
 };
 
 use super::fleet::{MAX_LEASE, config};
@@ -85,16 +86,18 @@
         for guard in disabled {
             group.agent.disable(*guard);
         }
-        for at in 0..3 {
+        let founders = [1, 2, 3].map(ReplicaId);
+        for id in founders {
+            let disk = first_disk(&founders, id);
             group.slots.push(Slot {
                 replica: None,
-                disk: DiskId(100 + at),
-                records: vec![Record::Disk(DiskId(100 + at))],
+                disk,
+                records: vec![Record::Disk(disk)],
                 unsynced: VecDeque::new(),
             });
         }
         for at in 0..3 {
-            group.start(at, true);
+            group.start(at);
         }
         let heartbeat = group.server.heartbeat();
         group.agent_input(ServerAgentInput::Heartbeat(heartbeat));
@@ -106,7 +109,7 @@
         group
     }
 
-    pub fn start(&mut self, at: usize, founder: bool) {
+    pub fn start(&mut self, at: usize) {
         let id = ReplicaId(at as u64 + 1);
         let peers = (1..=3).map(ReplicaId).filter(|peer| *peer != id).collect();
         let slot = &mut self.slots[at];
@@ -114,7 +117,7 @@
             disk: slot.disk,
             records: slot.records.clone(),
         };
-        let raft = Raft::new(id, peers, TIMING, durable, self.now, id.0).allow_joining(founder, 3);
+        let raft = Raft::new(id, peers, TIMING, durable, self.now, id.0).allow_joining(3);
         let mut replica = Replica::new(raft, TIMES).unwrap();
         for guard in &self.disabled {
             replica.disable(*guard);
--- a/tests/fakes/timed_group.rs
+++ b/tests/fakes/timed_group.rs
@@ -7,7 +7,7 @@
 use fulmardrift::{
     Call, CallReply, ClientAction, DiskId, JobId, JobSpec, JobStatus, Millis, OperatorConfig,
     Queue, QueueSettings, Raft, RaftGuard, RaftInput, RaftOutput, RaftTiming, Replica, ReplicaId,
-    ReplicaInput, ReplicaOutput, ReplicaTimes, Resources, SessionId, Step,
+    ReplicaInput, ReplicaOutput, ReplicaTimes, Resources, SessionId, Step, first_disk,
 };
 
 use super::session::{NODE_SESSIONS, Parcel, Piece, Session, SessionRules};
@@ -117,22 +117,22 @@
             last_disk: 100,
             last_version: 0,
         };
-        for id in 1..=size {
-            group.insert(id);
+        let founders: Vec<ReplicaId> = (1..=size).map(ReplicaId).collect();
+        for id in &founders {
+            group.insert(id.0, first_disk(&founders, *id));
         }
         for id in 1..=size {
-            group.start_as(id, true);
+            group.start(id);
         }
         group.run(Millis(3_000));
         assert!(group.leader().is_some(), "no first leader");
         group
     }
 
-    fn insert(&mut self, id: u64) {
-        self.last_disk += 1;
+    fn insert(&mut self, id: u64, disk: DiskId) {
         let instance = Instance {
             replica: None,
-            disk: TimedDisk::new(DiskId(self.last_disk), self.rules.old_file),
+            disk: TimedDisk::new(disk, self.rules.old_file),
             started_at: self.now,
             tick_at: self.now,
             spare_us: 0,
@@ -142,7 +142,8 @@
 
     /// Starts a further instance with an empty disk.
     pub fn add(&mut self, id: u64) {
-        self.insert(id);
+        self.last_disk += 1;
+        self.insert(id, DiskId(self.last_disk));
         // Settings files are kept up to date with the instances that are there.
         self.founders = self.instances.keys().copied().collect();
         self.start(id);
@@ -155,10 +156,6 @@
     }
 
     pub fn start(&mut self, id: u64) {
-        self.start_as(id, false);
-    }
-
-    fn start_as(&mut self, id: u64, founder: bool) {
         let others = self.founders.iter().filter(|other| **other != id);
         let peers: Vec<ReplicaId> = others.copied().map(ReplicaId).collect();
         let now = self.now;
@@ -166,7 +163,7 @@
         let durable = instance.disk.durable();
         let seed = id + now.0;
         let mut raft = Raft::new(ReplicaId(id), peers.clone(), TIMING, durable, now, seed)
-            .allow_joining(founder, usize::try_from(self.size).unwrap());
+            .allow_joining(usize::try_from(self.size).unwrap());
         for guard in &self.rules.disabled {
             raft.disable(*guard);
         }
--- a/tests/follower_metrics.rs
+++ b/tests/follower_metrics.rs
@@ -34,7 +34,7 @@
     let leader = group.leader();
     let follower = (leader + 1) % 3;
     group.wipe(follower);
-    group.start(follower, false);
+    group.start(follower);
     group.run(5_000);
     assert_eq!(event_counts(), [0, 1, 0, 0]);
     let replica = follower + 1;
--- a/tests/log_bounds.rs
+++ b/tests/log_bounds.rs
@@ -13,7 +13,7 @@
     Call, CallReply, ClientAction, Command, Control, ControlInput, ControlOutput, DiskId,
     Generation, Incarnation, JobId, JobKey, JobOutcome, JobSpec, JobStatus, Millis, OperatorConfig,
     Raft, RaftInput, RaftOutput, RaftTiming, Record, Replica, ReplicaId, ReplicaInput,
-    ReplicaOutput, ReplicaTimes, RequestId, Storage, TimestampedCommand, Wal,
+    ReplicaOutput, ReplicaTimes, RequestId, Storage, TimestampedCommand, Wal, first_disk,
 };
 
 use fleet::{config, job, submit};
@@ -80,9 +80,10 @@
 }
 
 fn open(disk: &Disk, now: Millis) -> (Wal<Disk>, Raft) {
-    let (wal, durable) = Wal::open(disk.clone(), DiskId(7)).unwrap();
+    let (wal, durable) =
+        Wal::open(disk.clone(), first_disk(&[ReplicaId(1)], ReplicaId(1))).unwrap();
     let raft = Raft::new(ReplicaId(1), Vec::new(), TIMING, durable, now, 1);
-    (wal, raft.allow_joining(true, 1))
+    (wal, raft.allow_joining(1))
 }
 
 /// A control instance that is its whole group, with its log on a disk.
--- a/tests/model_crashes.rs
+++ b/tests/model_crashes.rs
@@ -65,14 +65,14 @@
             let leader = group.leader();
             group.kill(leader);
             group.run(ms);
-            group.start(leader, false);
+            group.start(leader);
             group.run(REPAIR_MS);
         }
         Fault::WipeLeader(ms) => {
             let leader = group.leader();
             group.wipe(leader);
             group.run(ms);
-            group.start(leader, false);
+            group.start(leader);
             group.run(REPAIR_MS);
         }
         Fault::RestartAll => {
@@ -81,7 +81,7 @@
             }
             group.run(300);
             for at in 0..3 {
-                group.start(at, false);
+                group.start(at);
             }
             group.run(REPAIR_MS);
         }
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -67,7 +67,7 @@
     }
     group.run(500);
     for at in 0..3 {
-        group.start(at, false);
+        group.start(at);
     }
     group.run(6_000);
     assert_eq!(group.job_status(JobId(1)), COMPLETED);
@@ -84,7 +84,7 @@
     let leader = group.leader();
     group.wipe(leader);
     group.run(200);
-    group.start(leader, false);
+    group.start(leader);
     group.run(4_000);
     assert_eq!(
         group.ask(&Call::GetConfig),
@@ -226,7 +226,7 @@
         }
         group.run(200);
         for at in 0..3 {
-            group.start(at, false);
+            group.start(at);
         }
         group.run(4_000);
         assert_eq!(
@@ -284,7 +284,7 @@
         let leader = group.leader();
         group.kill(leader);
         group.run(200);
-        group.start(leader, false);
+        group.start(leader);
         group.run(6_000);
         assert_eq!(
             group.job_status(JobId(1)),
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use fulmardrift::{
     Body, DiskId, Durable, Index, Message, Millis, Position, Raft, RaftGuard, RaftInput,
-    RaftOutput, ReplicaId, Snapshot, SnapshotChunk, Term,
+    RaftOutput, ReplicaId, Snapshot, SnapshotChunk, Term, first_disk,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -124,11 +124,11 @@
 /// A leader of one voter with ten entries, and a follower that has acknowledged them.
 fn leader_with_follower(now: Millis) -> Raft {
     let durable = Durable {
-        disk: DiskId(1),
+        disk: first_disk(&[ReplicaId(1)], ReplicaId(1)),
         records: Vec::new(),
     };
     let mut raft =
-        Raft::new(ReplicaId(1), Vec::new(), TIMING, durable, Millis(0), 1).allow_joining(true, 1);
+        Raft::new(ReplicaId(1), Vec::new(), TIMING, durable, Millis(0), 1).allow_joining(1);
     let mut out = Vec::new();
     for ms in 0..2_000 {
         raft.step(Millis(ms), RaftInput::Tick, &mut out);
