--- a/tests/fakes/group.rs
+++ b/tests/fakes/group.rs
@@ -52,6 +52,8 @@
     pub founders: Option<Vec<u64>>,
     /// Number of voters that such a group should have; that of its founders when it is created.
     pub target_size: usize,
+    /// Whether an empty disk gets the identity of the first one again.
+    pub reuses_identity: bool,
     /// Instances to which no entry and no snapshot gets through, only other messages.
     pub no_bulk_to: Vec<u64>,
     /// The instances' watches, and what each reported when; empty unless followers are watched.
@@ -83,6 +85,19 @@
         Self::build(size, &[], Some((1..=size).collect()))
     }
 
+    /// A group of this size all of whose instances have just started, the first of which found it.
+    pub fn unfounded_by(founders: u64, size: u64, disabled_guards: &[RaftGuard]) -> Self {
+        let mut group = Self::build(founders, disabled_guards, Some((1..=founders).collect()));
+        group.target_size = usize::try_from(size).unwrap();
+        for id in 1..=founders {
+            group.start(id);
+        }
+        for id in founders + 1..=size {
+            group.add(id);
+        }
+        group
+    }
+
     fn build(size: u64, disabled_guards: &[RaftGuard], founders: Option<Vec<u64>>) -> Self {
         let mut group = Self {
             now: Millis(1),
@@ -94,6 +109,7 @@
             disabled_guards: disabled_guards.to_vec(),
             target_size: founders.as_ref().map_or(0, Vec::len),
             founders,
+            reuses_identity: false,
             no_bulk_to: Vec::new(),
             watches: BTreeMap::new(),
             reports: Vec::new(),
@@ -203,6 +219,16 @@
         instance.unsynced.clear();
     }
 
+    /// Kills the instance when so many of its unsynced writes are on its disk.
+    pub fn kill_in_sync(&mut self, id: u64, written: usize) {
+        let instance = self.instances.get_mut(&id).unwrap();
+        let unsynced = std::mem::take(&mut instance.unsynced);
+        for (_, records) in unsynced.into_iter().take(written) {
+            store(&mut instance.records, records);
+        }
+        self.kill(id);
+    }
+
     /// Restarts the instance with an empty disk.
     pub fn lose_disk(&mut self, id: u64) {
         self.wipe(id);
@@ -212,7 +238,11 @@
     /// Kills the instance and replaces its disk by an empty one.
     pub fn wipe(&mut self, id: u64) {
         self.kill(id);
-        let disk = self.new_disk();
+        let disk = if self.reuses_identity {
+            self.first_disk(id)
+        } else {
+            self.new_disk()
+        };
         let instance = self.instances.get_mut(&id).unwrap();
         instance.records.clear();
         instance.disk = disk;
@@ -287,14 +317,7 @@
         let mut last = 0;
         for (number, records) in std::mem::take(&mut instance.unsynced) {
             last = number;
-            if let Some(at) = records
-                .iter()
-                .rposition(|r| matches!(r, Record::Snapshot(_)))
-            {
-                instance.records = records[at..].to_vec();
-            } else {
-                instance.records.extend(records);
-            }
+            store(&mut instance.records, records);
         }
         self.input(id, ControlInput::Raft(RaftInput::Synced(last)));
     }
@@ -406,6 +429,16 @@
     }
 }
 
+/// Adds a write to the records on a disk.
+fn store(disk: &mut Vec<Record>, records: Vec<Record>) {
+    let is_snapshot = |r: &Record| matches!(r, Record::Snapshot(_));
+    if let Some(at) = records.iter().rposition(is_snapshot) {
+        *disk = records[at..].to_vec();
+    } else {
+        disk.extend(records);
+    }
+}
+
 /// A request to change one key.
 pub fn change_request(request: &str, path: &str, key: &str, value: &str) -> ChangeRequest {
     ChangeRequest {
--- a/tests/first_second.rs
+++ b/tests/first_second.rs
@@ -78,6 +78,115 @@
     }
 }
 
+/// After the last fault, a group that can serve has a leader within this time.
+const FIRST_LEADER: Millis = Millis(5_000);
+const FOUNDERS: u64 = 3;
+/// Faults in a play of the first seconds.
+const FAULTS: u32 = 6;
+
+/// What becomes of one founder for the rest of a play.
+#[derive(Debug, Clone, Copy)]
+enum LastFault {
+    Away,
+    DiskLost,
+    Frozen,
+    Muted,
+    Deafened,
+    CutFromOne,
+}
+
+const LAST_FAULTS: [LastFault; 6] = [
+    LastFault::Away,
+    LastFault::DiskLost,
+    LastFault::Frozen,
+    LastFault::Muted,
+    LastFault::Deafened,
+    LastFault::CutFromOne,
+];
+
+/// A fault that passes: a crash, some of it in the midst of a sync, a freeze or a cut.
+fn passing_fault(group: &mut Group, rng: &mut Pcg64Mcg, size: u64) {
+    let id = rng.random_range(1..=size);
+    let other = rng.random_range(1..=size);
+    match rng.random_range(0..6) {
+        0 => group.kill(id),
+        1 => group.kill_in_sync(id, rng.random_range(0..3)),
+        2 => group.instances.get_mut(&id).unwrap().syncs_complete = false,
+        3 => group.instances.get_mut(&id).unwrap().suspended = true,
+        4 => group.cut.push((id, other)),
+        _ => group.isolated = vec![id],
+    }
+    group.run_rounds(rng.random_range(0..20));
+}
+
+/// Ends all faults. Instances that are down start again.
+fn end_faults(group: &mut Group, size: u64) {
+    group.cut.clear();
+    group.isolated.clear();
+    for id in 1..=size {
+        let instance = group.instances.get_mut(&id).unwrap();
+        instance.suspended = false;
+        instance.syncs_complete = true;
+        if instance.control.is_none() {
+            group.start(id);
+        }
+    }
+}
+
+fn apply_last(group: &mut Group, id: u64, fault: LastFault, size: u64) {
+    let others = (1..=size).filter(|other| *other != id);
+    match fault {
+        LastFault::Away => group.kill(id),
+        LastFault::DiskLost => group.lose_disk(id),
+        LastFault::Frozen => group.instances.get_mut(&id).unwrap().suspended = true,
+        LastFault::Muted => group.cut = others.map(|other| (id, other)).collect(),
+        LastFault::Deafened => group.cut = others.map(|other| (other, id)).collect(),
+        LastFault::CutFromOne => group.cut = vec![(id, id % FOUNDERS + 1)],
+    }
+}
+
+fn play_first_seconds(seed: u64, size: u64, last: LastFault) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut group = Group::unfounded_by(FOUNDERS, size, &[]);
+    group.run_rounds(rng.random_range(0..10));
+    for _ in 0..rng.random_range(0..FAULTS) {
+        passing_fault(&mut group, &mut rng, size);
+        if rng.random() {
+            end_faults(&mut group, size);
+        }
+    }
+    end_faults(&mut group, size);
+    let id = rng.random_range(1..=FOUNDERS);
+    apply_last(&mut group, id, last, size);
+    let end = group.now + FIRST_LEADER;
+    while group.leader().is_none() && group.now < end {
+        group.run_round();
+    }
+    let case = format!("seed {seed}: {last:?} {id} of {size}");
+    assert!(group.leader().is_some(), "{case}: no leader");
+    let request = change_request("request", "r1", "max_tasks", "7");
+    assert!(group.change(&request).is_ok(), "{case}");
+    end_faults(&mut group, size);
+    let rounds = Millis(6_000).0 / TICK.0;
+    group.run_rounds(u32::try_from(rounds).unwrap());
+    for id in 1..=size {
+        let settings = group.state_machine(id).settings();
+        assert_eq!(settings.number("r1", "max_tasks"), 7, "{case}: {id}");
+    }
+}
+
+/// Guards against a system that never starts because a founder is away, frozen, cut off one way or
+/// has lost its disk, whatever happened before that.
+#[test]
+fn a_group_with_one_founder_out_of_order_serves_after_any_first_seconds() {
+    for seed in 0..SEEDS / 5 {
+        for last in LAST_FAULTS {
+            play_first_seconds(seed, 3, last);
+            play_first_seconds(seed, 5, last);
+        }
+    }
+}
+
 /// Guards against a system that never starts because one of the instances that may found the group
 /// does not, though its loss is tolerated.
 #[test]
