Derive the times of grants and late calls from the users' limits

Cause: MIN_RESEND, ENTRY_GRANT, LAPSE_MARGIN, STOP_BEFORE_EXPIRY, LEASE and HOLD_WAIT were constants that fit bounds.resend_ms 1,300, hold_max_ms 1,000 and stop_ms 50 only.

Change: src/dispatch/times.rs derives them in one place from resend, longest lease and stop time. Entries and agents use the same derivation; an agent is told when a grant ends, so only the times of one process must fit each other. Sooner resends shorten the grant of an entry, from 800 to 400 ms, and the time between an agent's heartbeats to entries, from 250 to 70 ms. Where that is not enough (resend below 698 ms) each new job waits before it is ordered: 48 ms at 650, 198 ms at 500. That is logged as E108 times-unfit. With the default limits all times are the former constants (test the_default_limits_give_the_known_times).

Weighed: only the wait, without shorter grants: 606 ms at 500. A wait only while an entry is gone: agents would have to tell all entries in time; a new message, not built. Heartbeats below 70 ms: more processor time for agents at every moment.

Constructors in tests take Times; the fake fleet sends heartbeats at the derived interval, which is the former one by default.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -18,6 +18,7 @@
 use super::guard::{Guards, JobGuard};
 use super::server_call::{CallId, ServerCall, ServerHeartbeat, ServerReply};
 use super::spec::{Resources, RunId, TaskId};
+use super::times::Times;
 use super::wire::{AgentOrder, AgentReport, Denial, Server};
 use crate::control::log::Term;
 use crate::core::clock::Millis;
@@ -68,13 +69,6 @@
     Report(Owner, AgentReport),
 }
 
-/// Time limits from the users' settings.
-#[derive(Debug, Clone, Copy)]
-pub struct AgentTimes {
-    /// Longest lease that the backend server may get at a time, in milliseconds.
-    pub max_lease: Millis,
-}
-
 /// A call to the backend server that has no answer yet.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum PendingCall {
@@ -102,7 +96,7 @@
 /// The state machine of one agent; it does no input or output of its own.
 #[derive(Debug)]
 pub struct ServerAgent {
-    pub(crate) times: AgentTimes,
+    pub(crate) times: Times,
     pub(crate) server: Option<Server>,
     // Sequence number of the backend server's latest announcement.
     pub(crate) sequence: u64,
@@ -169,7 +163,7 @@
 impl ServerAgent {
     /// Creates an agent that knows neither a backend server nor a dispatcher.
     #[must_use]
-    pub fn new(times: AgentTimes) -> Self {
+    pub fn new(times: Times) -> Self {
         Self {
             times,
             server: None,
@@ -505,7 +499,8 @@
     ) -> Option<Denial> {
         let is_allowed = self.dispatchers.get(&owner).is_some_and(|dispatcher| {
             dispatcher.has_inventory
-                && (dispatcher.may_act(now) || !self.guards.on(JobGuard::Grant))
+                && (dispatcher.may_act(now, self.times.stop_lead)
+                    || !self.guards.on(JobGuard::Grant))
         });
         let server = self
             .server
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -8,19 +8,13 @@
 use super::guard::JobGuard;
 use super::server_call::{CallId, ServerCall, ServerCallKind, ServerReply};
 use super::spec::{RunId, TaskId};
+use super::times::CLOCK_DRIFT_PERCENT;
 use crate::core::clock::Millis;
 
-/// Longest time that a hold call waits for an end while something runs, and while nothing does.
-/// Several calls fit into one lease, so that the lease survives the loss of one.
-const HOLD_WAIT: Millis = Millis(100);
+/// Longest time that a hold call waits for an end while nothing runs.
 const HOLD_WAIT_IDLE: Millis = Millis(300);
 /// Added to the longest wait of a hold call, in milliseconds.
 const HOLD_MARGIN: Millis = Millis(50);
-/// Longest lease given at a time. What is lost with a backend server starts elsewhere only when it has
-/// expired; an agent that is away for longer loses its runs.
-const LEASE: Millis = Millis(300);
-/// Percentage by which the backend server's clock may run slow.
-const CLOCK_DRIFT_PERCENT: u64 = 2;
 /// Added to a lease before it is considered expired: the time of one call on the same machine.
 const LEASE_MARGIN: Millis = Millis(50);
 /// A call without an answer is executed within this time or not at all. The users' protocol speaks
@@ -71,10 +65,7 @@
 
     /// Returns how long a lease given now may last; zero if none may be given.
     pub(crate) fn lease_length(&self, now: Millis) -> Millis {
-        self.times
-            .max_lease
-            .min(LEASE)
-            .min(self.grant_limit().since(now))
+        self.times.lease.min(self.grant_limit().since(now))
     }
 
     /// Returns the time, on the agent's clock, that the lease must not outlast. A lease covers
@@ -186,7 +177,7 @@
         if self.runs.is_empty() {
             HOLD_WAIT_IDLE
         } else {
-            HOLD_WAIT
+            self.times.hold_wait
         }
     }
 
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -97,7 +97,8 @@
         let mut stop = Vec::new();
         for (key, agent_run) in self.runs.iter() {
             let dispatcher = self.dispatchers.get(&agent_run.owner);
-            let may_act = dispatcher.is_some_and(|dispatcher| dispatcher.may_act(now));
+            let may_act =
+                dispatcher.is_some_and(|dispatcher| dispatcher.may_act(now, self.times.stop_lead));
             let may_be_claimed =
                 agent_run.inherited && now.since(agent_run.changed_at) < CLAIM_TIMEOUT;
             let lapsed = !may_act && self.guards.on(JobGuard::Grant);
--- a/src/dispatch/call_expiry.rs
+++ b/src/dispatch/call_expiry.rs
@@ -71,7 +71,7 @@
                         || self.dispatcher.blocks_useful_jobs(now, *id)
                 }
                 CallRoute::Parked(_) => waited >= MAX_PARKED,
-                CallRoute::Held { .. } => waited >= give_up_after,
+                CallRoute::Held { .. } => waited >= give_up_after + self.order_wait(),
                 CallRoute::Forward { .. } => false,
             };
             if is_useless {
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -14,6 +14,7 @@
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings};
+use super::times::Times;
 use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use super::worker::SessionId;
 use crate::core::clock::Millis;
@@ -25,9 +26,6 @@
 const RESEND_AFTER: Millis = Millis(40);
 /// Retry delay given to callers whose call was not accepted, in milliseconds.
 pub(super) const RETRY_AFTER: Millis = Millis(1_000);
-/// How long the outcome of a transient job is kept, in milliseconds. A caller that lost the answer
-/// submits the job again a little later and gets the kept outcome.
-const OUTCOME_KEPT_FOR: Millis = Millis(5_000);
 /// The entry's dispatcher holds no stored jobs, so it has no ended jobs to keep.
 const KEEP_NOTHING: Millis = Millis(0);
 
@@ -120,6 +118,7 @@
 #[derive(Debug)]
 pub struct CallRouter {
     life: u64,
+    pub(super) times: Times,
     pub(super) open_calls: Table<u64, OpenCall>,
     // No open call has an earlier deadline.
     pub(super) next_deadline: Millis,
@@ -144,16 +143,17 @@
 impl CallRouter {
     /// Creates the router for one incarnation (`life`) of its entry.
     #[must_use]
-    pub fn new(life: u64, now: Millis) -> Self {
+    pub fn new(life: u64, now: Millis, times: Times) -> Self {
         Self {
             life,
+            times,
             open_calls: Table::default(),
             next_deadline: Millis(u64::MAX),
             leader: None,
             config: None,
             evacuated_index: 0,
             evacuated: Vec::new(),
-            dispatcher: Dispatcher::new(DispatcherId::Entry(life), now),
+            dispatcher: Dispatcher::new(DispatcherId::Entry(life), times.grant, now),
             waiting_calls: Table::default(),
             recent_outcomes: Table::default(),
             swept_at: now,
@@ -307,7 +307,7 @@
                     {
                         let is_known =
                             self.dispatcher.has_job(id) || self.recent_outcomes.get(&id).is_some();
-                        if !is_known && self.may_be_late(now, &incoming) {
+                        if !is_known && self.must_wait(now, &incoming) {
                             let action = ClientAction::Submit(Some(spec));
                             self.hold_call(now, &incoming, Call::Client { host, path, action });
                             return;
@@ -509,7 +509,7 @@
             }
             InitiatorMessage::Heartbeat(at) => {
                 let known = self.dispatcher.on_heartbeat(now, session, at);
-                let grant = known.then_some(DispatcherId::Entry(self.life).grant());
+                let grant = known.then_some(self.times.grant);
                 out.push(CallRouterOutput::Message(
                     session,
                     AcceptorMessage::HeartbeatAck { at, grant },
@@ -533,10 +533,11 @@
         self.refuse_useless(now, out);
         self.forward(now, out);
         self.dispatcher.tick(now, KEEP_NOTHING, &mut self.actions);
-        if now.since(self.swept_at) >= OUTCOME_KEPT_FOR {
+        let keep = self.times.keep_outcome;
+        if now.since(self.swept_at) >= keep {
             self.swept_at = now;
             self.recent_outcomes
-                .retain(|_, (at, _)| now.since(*at) < OUTCOME_KEPT_FOR);
+                .retain(|_, (at, _)| now.since(*at) < keep);
         }
     }
 
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -13,6 +13,7 @@
 use super::run_trace::{DroppedJobs, RunProof};
 use super::spec::{JobId, JobStatus, QueueSettings};
 use super::suspects::Suspects;
+use super::times::{self, GROUP_GRANT};
 use super::wire::AcceptorMessage;
 use super::worker::{SessionId, Worker, WorkerId};
 use crate::control::log::Term;
@@ -20,17 +21,6 @@
 use crate::core::table::Table;
 use crate::events;
 
-/// How long an agent may act for the group after it sent its heartbeat, in milliseconds; long
-/// enough for an election.
-pub(crate) const GROUP_GRANT: Millis = Millis(1_500);
-/// How long an agent may act for an entry after it sent its heartbeat, in milliseconds. A caller
-/// that lost its entry submits again after 1.3 s; by then the agent has stopped the job's runs.
-pub(crate) const ENTRY_GRANT: Millis = Millis(800);
-/// Added to a grant before a silent worker is considered empty, in milliseconds: covers network
-/// hops and the interval at which a backend server checks its clock.
-const LAPSE_MARGIN: Millis = Millis(250);
-/// Percentage by which a backend server's clock may run slow.
-const CLOCK_DRIFT_PERCENT: u64 = 2;
 /// Run ids per millisecond of an entry's wall clock.
 pub(crate) const RUNS_PER_MS: u64 = 1_024;
 /// Added to an entry's run ids after one of them was refused as too low: the clock of another entry
@@ -70,19 +60,14 @@
             Self::Entry(life) => life,
         }
     }
-
-    pub(crate) fn grant(self) -> Millis {
-        match self {
-            Self::Group(_) => GROUP_GRANT,
-            Self::Entry(_) => ENTRY_GRANT,
-        }
-    }
 }
 
 /// Dispatcher of one leader for one term, or of one incarnation of an entry.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
     pub(crate) id: DispatcherId,
+    // How long an agent may act for this dispatcher after it sent its heartbeat.
+    pub(crate) grant: Millis,
     pub(crate) workers: Vec<Worker>,
     pub(crate) by_agent: Table<String, WorkerId>,
     pub(crate) by_session: Table<SessionId, WorkerId>,
@@ -118,9 +103,10 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without jobs.
-    pub(crate) fn new(id: DispatcherId, now: Millis) -> Self {
+    pub(crate) fn new(id: DispatcherId, grant: Millis, now: Millis) -> Self {
         Self {
             id,
+            grant,
             workers: Vec::new(),
             by_agent: Table::default(),
             by_session: Table::default(),
@@ -152,7 +138,7 @@
         now: Millis,
         guards: &Guards,
     ) -> Self {
-        let mut new = Self::new(DispatcherId::Group(term), now);
+        let mut new = Self::new(DispatcherId::Group(term), GROUP_GRANT, now);
         new.guards = guards.clone();
         new.awaited.clone_from(&state.agents);
         new.await_deadline = now + new.lapse_time();
@@ -181,8 +167,7 @@
         if !self.guards.on(JobGuard::Lapse) {
             return Millis(0);
         }
-        let grant = self.id.grant();
-        grant + Millis(grant.0 * CLOCK_DRIFT_PERCENT / 100) + LAPSE_MARGIN
+        times::lapse_time(self.grant)
     }
 
     /// Makes tasks of unknown state startable once no agent can still hold a run of them: all
--- a/src/dispatch/dispatcher_link.rs
+++ b/src/dispatch/dispatcher_link.rs
@@ -7,11 +7,6 @@
 /// of stored jobs by a term, so the number alone tells who may own an inherited run.
 const FIRST_TRANSIENT_RUN: u64 = 1 << 50;
 
-/// The runs of a dispatcher are stopped this long before its grant expires: time for a stop call
-/// with two retries. The backend server's lease ends with the earliest grant, so it can only be
-/// extended for the other dispatchers once those runs are gone.
-const STOP_BEFORE_EXPIRY: Millis = Millis(200);
-
 /// The dispatcher that a run belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Owner {
@@ -52,9 +47,10 @@
 }
 
 impl DispatcherLink {
-    /// True while the grant lasts and leaves time to stop the dispatcher's runs before it expires.
-    pub(crate) fn may_act(&self, now: Millis) -> bool {
-        now + STOP_BEFORE_EXPIRY < self.grant_expires_at
+    /// True while the grant lasts and leaves `stop_lead` to stop the dispatcher's runs before it
+    /// expires.
+    pub(crate) fn may_act(&self, now: Millis, stop_lead: Millis) -> bool {
+        now + stop_lead < self.grant_expires_at
     }
 
     pub(crate) fn connect(&mut self, epoch: u64) {
--- a/src/dispatch/late_calls.rs
+++ b/src/dispatch/late_calls.rs
@@ -6,15 +6,10 @@
 use super::call::Call;
 use super::call_router::{CallRoute, CallRouter, CallRouterOutput, IncomingCall, OpenCall};
 use super::guard::JobGuard;
+use super::times::MAX_GAP;
 use crate::core::clock::Millis;
 use crate::events;
 
-/// A caller without an answer sends its job to another entry this long later at the earliest, in
-/// milliseconds.
-const MIN_RESEND: Millis = Millis(1_300);
-/// Time for the stop of a job's runs to reach their backend servers, repeated twice, in
-/// milliseconds.
-const STOP_TIME: Millis = Millis(300);
 /// Longest time for which a silence puts calls under suspicion, in milliseconds. A sender whose
 /// retransmissions are further apart is not expected back.
 const MAX_SUSPICION: Millis = Millis(10_000);
@@ -23,9 +18,6 @@
 const CONFIRM_WAIT: Millis = Millis(20);
 /// Longest further wait of a late call in an entry that pauses again and again, in milliseconds.
 const MAX_FURTHER_WAIT: Millis = Millis(100);
-/// Longest time between two turns of an entry, in milliseconds, in which it reads what has arrived
-/// on its callers' connections. It ticks every 20 ms.
-const MAX_GAP: Millis = Millis(40);
 
 /// The times after which a caller has sent a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,37 +87,51 @@
 }
 
 impl CallRouter {
-    /// Age from which a call is late: by the time its caller can have sent it elsewhere, runs that
-    /// are ordered later may not have ended, even if its end is noticed.
+    /// Age from which a call is late.
     fn late_after(&self) -> Millis {
         if !self.dispatcher.guards.on(JobGuard::LateCall) {
             return Millis(u64::MAX);
         }
-        MIN_RESEND - self.dispatcher.lapse_time()
+        self.times.late_age
+    }
+
+    /// Time that each new job waits, as its caller may have sent it to an entry that is gone.
+    pub(super) fn order_wait(&self) -> Millis {
+        if self.dispatcher.guards.on(JobGuard::LateCall) {
+            self.times.order_wait
+        } else {
+            Millis(0)
+        }
     }
 
     /// Notes that a call arrives.
     pub(super) fn note_arrival(&mut self, now: Millis) {
-        // Held up for less, a request is followed by its caller's end in time.
-        self.arrivals.note(now, MIN_RESEND - STOP_TIME);
+        self.arrivals.note(now, self.times.max_silence);
+    }
+
+    /// True if tasks may not be ordered yet for a new job.
+    pub(super) fn must_wait(&self, now: Millis, incoming: &IncomingCall) -> bool {
+        let waits = self.order_wait() > Millis(0) || self.may_be_late(now, incoming);
+        !incoming.is_confirmed && waits
     }
 
     /// True if the caller may have given this call up before now, by the age that it can have.
-    pub(super) fn may_be_late(&self, now: Millis, incoming: &IncomingCall) -> bool {
+    fn may_be_late(&self, now: Millis, incoming: &IncomingCall) -> bool {
         let sent_after = if now < self.arrivals.held_up_until {
             incoming.sent.surely
         } else {
             incoming.sent.usually
         };
-        !incoming.is_confirmed && now.since(sent_after) > self.late_after()
+        now.since(sent_after) > self.late_after()
     }
 
-    /// Keeps a late call until its caller is known to wait for it.
+    /// Keeps a call until its caller is known to wait for it, and runs of an entry that had it before
+    /// are over.
     pub(super) fn hold_call(&mut self, now: Millis, incoming: &IncomingCall, call: Call) {
         let open = OpenCall {
             route: CallRoute::Held {
                 call,
-                until: now + CONFIRM_WAIT,
+                until: (now + CONFIRM_WAIT).max(incoming.received_at + self.order_wait()),
             },
             sent: incoming.sent,
             received_at: incoming.received_at,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -39,5 +39,6 @@
 pub(crate) mod slow;
 pub(crate) mod spec;
 pub(crate) mod suspects;
+pub(crate) mod times;
 pub(crate) mod wire;
 pub(crate) mod worker;
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -7,12 +7,13 @@
 use snafu::{ResultExt, Snafu};
 
 use super::call::{Call, CallReply};
-use super::dispatcher::{DispatchOutput, Dispatcher, GROUP_GRANT};
+use super::dispatcher::{DispatchOutput, Dispatcher};
 use super::guard::{Guards, JobGuard};
 use super::pending_reply::{Origin, PendingReply, send_replies};
 use super::replica_calls::RETRY_AFTER;
 use super::replicated_state::{ReplicatedState, StateChange, StateCommand};
 use super::room::Room;
+use super::times::GROUP_GRANT;
 use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use super::worker::SessionId;
 use crate::control::follower_watch::FollowerWatch;
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -90,7 +90,7 @@
 
     /// Grants an agent whose inventory was awaited the time that its latest heartbeat asked for.
     fn grant_awaited(&mut self, now: Millis, id: WorkerId, out: &mut Vec<DispatchOutput>) {
-        let grant = Some(self.id.grant());
+        let grant = Some(self.grant);
         let worker = &mut self.workers[id.0];
         if let (Some(at), Some(session)) = (worker.heartbeat_at.take(), worker.session) {
             worker.last_granted_at = now;
--- a/src/events.rs
+++ b/src/events.rs
@@ -41,6 +41,8 @@
     ADDRESS_HELD = 106 Warn "address-held";
     /// A part of this process panicked, so the process ends.
     PANICKED = 107 Error "panicked";
+    /// Times of the protocol do not fit the users' settings; the nearest safe ones are used.
+    TIMES_UNFIT = 108 Warn "times-unfit";
     /// The control group registered this process under an incarnation.
     JOINED = 200 Info "joined";
     /// The control group declared this process dead; it registers again.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,7 +64,7 @@
 pub use crate::core::task::{
     Admission, Dispatch, Lease, NotRunReason, TaskEvent, TaskState, TaskStatus, Verdict,
 };
-pub use crate::dispatch::agent::{AgentTimes, ServerAgent, ServerAgentInput, ServerAgentOutput};
+pub use crate::dispatch::agent::{ServerAgent, ServerAgentInput, ServerAgentOutput};
 pub use crate::dispatch::call::{Call, CallReply, ClientAction};
 pub use crate::dispatch::call_router::{CallRouter, CallRouterInput, CallRouterOutput, LinkId};
 pub use crate::dispatch::dispatcher_link::Owner;
@@ -81,6 +81,7 @@
     JobId, JobSpec, JobStatus, OperatorConfig, Queue, QueueSettings, Resources, RunId, RunOutcome,
     Step, TaskId,
 };
+pub use crate::dispatch::times::{TimeLimits, Times};
 pub use crate::dispatch::wire::{
     AcceptorMessage, AgentOrder, AgentReport, Denial, Evidence, Initiator, InitiatorMessage, Server,
 };
--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -7,12 +7,13 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::entry_links::EntryLinks;
-use super::link::{LinkEvent, Origin};
+use super::link::{HEARTBEAT_INTERVAL, LinkEvent, Origin};
 use super::links::{ControlLinks, LeaderUpdate};
 use super::pauses::PauseWatch;
-use crate::dispatch::agent::{AgentTimes, ServerAgent, ServerAgentInput, ServerAgentOutput};
+use crate::dispatch::agent::{ServerAgent, ServerAgentInput, ServerAgentOutput};
 use crate::dispatch::dispatcher_link::Owner;
 use crate::dispatch::server_call::{CallId, ServerCall, ServerHeartbeat, ServerReply};
+use crate::dispatch::times::Times;
 use crate::dispatch::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use crate::events;
 use crate::shell::clock::Clock;
@@ -43,7 +44,7 @@
         name: &str,
         seeds: Vec<SocketAddrV4>,
         bind_ip: Option<Ipv4Addr>,
-        times: AgentTimes,
+        times: Times,
     ) -> (Self, mpsc::Receiver<ServerCall>) {
         let clock = Clock::new();
         let (link_tx, link_rx) = mpsc::channel(EVENT_QUEUE_LEN);
@@ -53,16 +54,22 @@
         let origin = Origin {
             initiator: Initiator::Agent(name.to_owned()),
             bind_ip,
+            heartbeat: HEARTBEAT_INTERVAL,
+        };
+        let to_entries = Origin {
+            heartbeat: Duration::from_millis(times.heartbeat.0),
+            ..origin.clone()
         };
         let actor = Actor {
             agent: ServerAgent::new(times),
-            links: ControlLinks::new(origin.clone(), clock, seeds, link_tx),
-            entries: EntryLinks::new(origin, clock, entry_tx),
+            links: ControlLinks::new(origin, clock, seeds, link_tx),
+            entries: EntryLinks::new(to_entries, clock, entry_tx),
             clock,
             calls: call_tx,
         };
         tokio::spawn(actor.run(rx, link_rx, entry_rx));
         events::STARTED.log(format_args!("agent name={name}"));
+        times.log_faults();
         (Self { tx }, call_rx)
     }
 
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -13,7 +13,7 @@
 
 use super::address::{listen_address, replica_address, replica_id};
 use super::disk::{OpenLog, file_bound, open_log};
-use super::link::{self, Link, LinkEvent, Origin};
+use super::link::{self, HEARTBEAT_INTERVAL, Link, LinkEvent, Origin};
 use super::listen::listen;
 use super::sessions::{self, SessionEvent, SessionQueues};
 use crate::control::log::{DiskId, ReplicaId};
@@ -367,6 +367,7 @@
             let origin = Origin {
                 initiator: Initiator::Replica(own_id.0),
                 bind_ip,
+                heartbeat: HEARTBEAT_INTERVAL,
             };
             link::open(
                 LinkId(to.0),
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -10,7 +10,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::address::{listen_address, replica_id};
-use super::link::{LinkEvent, Origin};
+use super::link::{HEARTBEAT_INTERVAL, LinkEvent, Origin};
 use super::links::{ControlLinks, LeaderUpdate};
 use super::listen::listen;
 use super::pauses::PauseWatch;
@@ -20,6 +20,7 @@
 use crate::dispatch::call::{Call, CallReply};
 use crate::dispatch::call_router::{CallRouter, CallRouterInput, CallRouterOutput};
 use crate::dispatch::late_calls::SentAfter;
+use crate::dispatch::times::Times;
 use crate::dispatch::wire::{AcceptorMessage, Initiator, InitiatorMessage};
 use crate::events;
 use crate::shell::clock::{Clock, unix_now};
@@ -62,6 +63,8 @@
     pub bind_ip: Option<Ipv4Addr>,
     /// Addresses of control instances to contact first.
     pub seeds: Vec<SocketAddrV4>,
+    /// Times of the dispatch protocol.
+    pub times: Times,
 }
 
 /// A running entry.
@@ -91,10 +94,11 @@
         let origin = Origin {
             initiator: Initiator::Entry(cfg.name.clone(), replica_id(cfg.address).0),
             bind_ip: cfg.bind_ip,
+            heartbeat: HEARTBEAT_INTERVAL,
         };
         let actor = Actor {
             links: ControlLinks::new(origin, clock, cfg.seeds, link_tx),
-            router: CallRouter::new(life, clock.now()),
+            router: CallRouter::new(life, clock.now(), cfg.times),
             sessions: SessionQueues::default(),
             clock,
             callers: Table::default(),
@@ -105,6 +109,7 @@
         tokio::spawn(actor.run(rx, link_rx));
         tokio::spawn(sessions::serve(listener, clock, tx.clone(), Event::Session));
         events::STARTED.log(format_args!("entry name={} life={life}", cfg.name));
+        cfg.times.log_faults();
         Ok(Self {
             tx,
             clock,
--- a/src/node/link.rs
+++ b/src/node/link.rs
@@ -21,8 +21,8 @@
 use crate::events;
 use crate::shell::clock::Clock;
 
-/// Interval between heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between heartbeats to a control instance.
+pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// A session is closed after this long without a byte: three heartbeats were lost.
 const SILENCE_TIMEOUT: Millis = Millis(900);
 /// Interval between checks for silence.
@@ -64,6 +64,8 @@
     pub(crate) initiator: Initiator,
     /// Source address of its connections; `None` for the one that the system chooses.
     pub(crate) bind_ip: Option<Ipv4Addr>,
+    /// Interval between its heartbeats.
+    pub(crate) heartbeat: Duration,
 }
 
 impl Origin {
@@ -174,7 +176,7 @@
         let writer = Writer::new(write, &peer);
         tokio::select! {
             ended = reading => ended,
-            ended = write_messages(writer, &self.origin.initiator, self.clock, &mut self.rx) => ended,
+            ended = write_messages(writer, &self.origin, self.clock, &mut self.rx) => ended,
             ended = peer.watch_silence(SILENCE_TIMEOUT, SILENCE_CHECK_INTERVAL) => ended,
         }
     }
@@ -182,14 +184,14 @@
 
 async fn write_messages(
     mut writer: Writer<'_, OwnedWriteHalf>,
-    initiator: &Initiator,
+    origin: &Origin,
     clock: Clock,
     rx: &mut OutgoingReceiver<InitiatorMessage>,
 ) -> Result<(), FrameError> {
-    writer.push(&InitiatorMessage::Hello(initiator.clone()))?;
+    writer.push(&InitiatorMessage::Hello(origin.initiator.clone()))?;
     // The first grant must not wait for the shared timer.
     writer.push(&InitiatorMessage::Heartbeat(clock.now()))?;
-    let mut heartbeat = shared_interval(HEARTBEAT_INTERVAL);
+    let mut heartbeat = shared_interval(origin.heartbeat);
     loop {
         writer.write(rx).await?;
         tokio::select! {
--- a/tests/bind_address.rs
+++ b/tests/bind_address.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use fulmardrift::{
-    AgentNode, AgentTimes, ControlNode, ControlNodeConfig, EntryNode, EntryNodeConfig, Initiator,
-    InitiatorMessage, MessageDecoder, Millis, ReplicaTimes, replica_id,
+    AgentNode, ControlNode, ControlNodeConfig, EntryNode, EntryNodeConfig, Initiator,
+    InitiatorMessage, MessageDecoder, Millis, ReplicaTimes, Times, replica_id,
 };
 use tempfile::TempDir;
 
@@ -59,9 +59,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_connects_from_its_own_address() {
     let (listener, seed) = listen(PEER_IP);
-    let times = AgentTimes {
-        max_lease: Millis(1_000),
-    };
+    let times = Times::default();
     let (_node, _calls) = AgentNode::start("agent", vec![seed], Some(BIND_IP), times);
     let (source, initiator) = accept(listener).await;
     assert_eq!(source.ip(), BIND_IP);
@@ -77,6 +75,7 @@
         address,
         bind_ip: Some(BIND_IP),
         seeds: vec![seed],
+        times: Times::default(),
     };
     let _node = EntryNode::start(cfg).await.unwrap();
     let (source, initiator) = accept(listener).await;
--- a/tests/entry_calls.rs
+++ b/tests/entry_calls.rs
@@ -5,7 +5,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use fulmardrift::{Call, CallAge, EntryNode, EntryNodeConfig, Millis};
+use fulmardrift::{Call, CallAge, EntryNode, EntryNodeConfig, Millis, Times};
 
 /// More calls than wait in an entry's queue of events.
 const CALLS: usize = 5_000;
@@ -26,6 +26,7 @@
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0),
             bind_ip: None,
             seeds: Vec::new(),
+            times: Times::default(),
         };
         let node = EntryNode::start(cfg).await.unwrap();
         let mut calls: Vec<_> = (0..CALLS)
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -9,21 +9,20 @@
 use std::sync::Arc;
 
 use fulmardrift::{
-    AcceptorMessage, AgentOrder, AgentReport, AgentTimes, Call, CallId, CallReply, CallRouter,
-    CallRouterInput, CallRouterOutput, ClientAction, Denial, Initiator, InitiatorMessage, JobGuard,
-    JobId, JobSpec, Millis, OperatorConfig, Owner, Queue, QueueSettings, Resources, SentAfter,
-    ServerAgent, ServerAgentInput, ServerAgentOutput, ServerCall, ServerReply, SessionId, Step,
-    TaskId,
+    AcceptorMessage, AgentOrder, AgentReport, Call, CallId, CallReply, CallRouter, CallRouterInput,
+    CallRouterOutput, ClientAction, Denial, Initiator, InitiatorMessage, JobGuard, JobId, JobSpec,
+    Millis, OperatorConfig, Owner, Queue, QueueSettings, Resources, SentAfter, ServerAgent,
+    ServerAgentInput, ServerAgentOutput, ServerCall, ServerReply, SessionId, Step, TaskId,
+    TimeLimits, Times,
 };
 
 use super::server::{FakeServer, Span};
 
-/// Maximum length of a backend server's lease.
-pub const MAX_LEASE: Millis = Millis(1_000);
 /// Time of the fake wall clock at virtual time 0, in milliseconds since the Unix epoch.
 const WALL_CLOCK_START: u64 = 1_780_000_000_000;
 /// An agent gives up a hold or stop call without an answer after this long.
 const CALL_TIMEOUT: Millis = Millis(600);
+/// Interval at which backend servers may announce themselves.
 const HEARTBEAT_INTERVAL_MS: u64 = 250;
 /// A session is closed after this long without a message from the entry, in milliseconds.
 const SESSION_TIMEOUT_MS: u64 = 900;
@@ -87,6 +86,7 @@
     calls: VecDeque<(Millis, usize, ServerCall)>,
     /// The highest number given to a session or an entry's incarnation.
     last_id: u64,
+    times: Times,
     /// Safety rules that are turned off.
     disabled: Vec<JobGuard>,
     /// Number of reports of what other dispatchers use.
@@ -161,6 +161,17 @@
 
     /// Starts a fleet in which some safety rules are turned off.
     pub fn with_disabled(entries: usize, agents: usize, work: u64, disabled: &[JobGuard]) -> Self {
+        Self::with_limits(entries, agents, work, disabled, TimeLimits::default())
+    }
+
+    /// Starts a fleet for other limits of the users.
+    pub fn with_limits(
+        entries: usize,
+        agents: usize,
+        work: u64,
+        disabled: &[JobGuard],
+        limits: TimeLimits,
+    ) -> Self {
         let mut fleet = Self {
             now: Millis(1),
             entries: Vec::new(),
@@ -176,6 +187,7 @@
             to_entries: VecDeque::new(),
             calls: VecDeque::new(),
             last_id: 0,
+            times: Times::new(limits),
             disabled: disabled.to_vec(),
             usage_reports: 0,
             start_orders: 0,
@@ -221,9 +233,7 @@
     }
 
     fn new_agent(&self) -> ServerAgent {
-        let mut agent = ServerAgent::new(AgentTimes {
-            max_lease: MAX_LEASE,
-        });
+        let mut agent = ServerAgent::new(self.times);
         for guard in &self.disabled {
             agent.disable(*guard);
         }
@@ -233,7 +243,7 @@
     pub fn start_entry(&mut self, entry: usize) {
         self.last_id += 1;
         let life = 1_000 + self.last_id;
-        let mut router = CallRouter::new(life, self.now);
+        let mut router = CallRouter::new(life, self.now, self.times);
         for guard in &self.disabled {
             router.disable(*guard);
         }
@@ -433,6 +443,9 @@
                 self.tick();
             }
             if self.now.0.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
+                self.send_announcements();
+            }
+            if self.now.0.is_multiple_of(self.times.heartbeat.0) {
                 self.send_heartbeats();
             }
         }
@@ -590,7 +603,7 @@
         }
     }
 
-    fn send_heartbeats(&mut self) {
+    fn send_announcements(&mut self) {
         for agent in 0..self.agents.len() {
             if !self.now.0.is_multiple_of(self.announcement_interval_ms) {
                 break;
@@ -601,6 +614,9 @@
             let heartbeat = self.agents[agent].server.heartbeat();
             self.agent_input(agent, ServerAgentInput::Heartbeat(heartbeat));
         }
+    }
+
+    fn send_heartbeats(&mut self) {
         for session in self.sessions.clone() {
             if !self.agents[session.agent].frozen {
                 self.to_entries.push_back((
--- a/tests/fakes/stored.rs
+++ b/tests/fakes/stored.rs
@@ -5,13 +5,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use fulmardrift::{
-    AcceptorMessage, AgentOrder, AgentReport, AgentTimes, Call, CallReply, ClientAction, DiskId,
-    Durable, Initiator, InitiatorMessage, JobGuard, JobId, Millis, Owner, Raft, RaftOutput,
-    RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, Resources,
-    Server, ServerAgent, ServerAgentInput, ServerAgentOutput, ServerReply, SessionId, Term,
+    AcceptorMessage, AgentOrder, AgentReport, Call, CallReply, ClientAction, DiskId, Durable,
+    Initiator, InitiatorMessage, JobGuard, JobId, Millis, Owner, Raft, RaftOutput, RaftTiming,
+    Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput, ReplicaTimes, Resources, Server,
+    ServerAgent, ServerAgentInput, ServerAgentOutput, ServerReply, SessionId, Term, Times,
 };
 
-use super::fleet::{MAX_LEASE, config};
+use super::fleet::config;
 use super::server::FakeServer;
 
 const TIMES: ReplicaTimes = ReplicaTimes {
@@ -69,9 +69,7 @@
             now: Millis(1),
             slots: Vec::new(),
             net: VecDeque::new(),
-            agent: ServerAgent::new(AgentTimes {
-                max_lease: MAX_LEASE,
-            }),
+            agent: ServerAgent::new(Times::default()),
             server: FakeServer::new("s0", "dc0", Millis(work)),
             leader: None,
             calls: VecDeque::new(),
--- a/tests/session_order.rs
+++ b/tests/session_order.rs
@@ -2,7 +2,7 @@
 
 use fulmardrift::{
     AcceptorMessage, CallRouter, CallRouterInput, CallRouterOutput, Initiator, InitiatorMessage,
-    Millis, SessionId,
+    Millis, SessionId, Times,
 };
 
 const GIVEN_UP: SessionId = SessionId(1);
@@ -12,7 +12,7 @@
 /// before a cut arrives after that over the next connection.
 #[test]
 fn a_late_greeting_does_not_replace_a_newer_session() {
-    let mut router = CallRouter::new(7, Millis(0));
+    let mut router = CallRouter::new(7, Millis(0), Times::default());
     let mut out = Vec::new();
     let hello = InitiatorMessage::Hello(Initiator::Agent("agent".to_owned()));
     let inputs = [
