Play random faults with callers that submit again early

tests/transient_faults.rs plays its seeds with callers that submit again after 500 and 200 ms too. The play with 1,300 ms is as before.

--- a/tests/transient_faults.rs
+++ b/tests/transient_faults.rs
@@ -8,7 +8,7 @@
 
 use std::env;
 
-use fulmardrift::{CallReply, CallRouterInput, JobId, Millis};
+use fulmardrift::{CallReply, CallRouterInput, JobId, Millis, TimeLimits};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -16,6 +16,8 @@
 
 /// Each caller submits its job again this long after a lost connection or a missing answer.
 const RESUBMIT_AFTER: Millis = Millis(1_300);
+/// The same where the users' limits let callers submit sooner.
+const RESUBMIT_EARLY: [Millis; 2] = [Millis(500), Millis(200)];
 /// Pause after a refusal.
 const RETRY_AFTER: Millis = Millis(300);
 /// The entry answers this long before the caller gives up.
@@ -55,16 +57,21 @@
 struct Play {
     fleet: Fleet,
     rng: Pcg64Mcg,
+    resubmit_after: Millis,
     callers: Vec<Caller>,
     repairs: Vec<(Millis, Repair)>,
     last_token: u64,
 }
 
 impl Play {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, resubmit_after: Millis) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let work = [200, 700, 1_700, 3_600][rng.random_range(0..4)];
-        let mut fleet = Fleet::new(ENTRIES, AGENTS, work);
+        let limits = TimeLimits {
+            resend: resubmit_after,
+            ..TimeLimits::default()
+        };
+        let mut fleet = Fleet::with_limits(ENTRIES, AGENTS, work, &[], limits);
         let slow = rng.random_range(0..3);
         for slot in &mut fleet.agents {
             slot.server.slow_clock_percent = slow;
@@ -83,6 +90,7 @@
         Self {
             fleet,
             rng,
+            resubmit_after,
             callers,
             repairs: Vec::new(),
             last_token: 0,
@@ -132,12 +140,12 @@
                 return;
             }
             Some(CallReply::Refused(_)) => now + RETRY_AFTER,
-            Some(_) => now + RESUBMIT_AFTER,
+            Some(_) => now + self.resubmit_after,
             None if is_broken || now >= gives_up_at => {
                 if slot.life == life {
                     self.fleet.router_input(entry, CallRouterInput::Left(token));
                 }
-                now + RESUBMIT_AFTER
+                now + self.resubmit_after
             }
             None => return,
         };
@@ -213,9 +221,8 @@
     }
 }
 
-/// Guards against two runs of a task at a time. `FULMARDRIFT_SEEDS=FROM-TO` plays other seeds.
-#[test]
-fn no_task_runs_twice_at_a_time() {
+/// Plays the seeds, or those of `FULMARDRIFT_SEEDS=FROM-TO`.
+fn check(resubmit_after: Millis) {
     let given = env::var("FULMARDRIFT_SEEDS").ok();
     let range = given.as_deref().and_then(|text| text.split_once('-'));
     let seeds: Vec<u64> = match range {
@@ -226,7 +233,7 @@
     let mut done = 0;
     let mut broken = Vec::new();
     for seed in seeds {
-        let mut play = Play::new(seed);
+        let mut play = Play::new(seed, resubmit_after);
         play.run();
         starts += play.fleet.spans().len();
         done += play.callers.iter().filter(|c| c.is_done).count();
@@ -239,3 +246,18 @@
     assert!(done > 0);
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Guards against two runs of a task at a time.
+#[test]
+fn no_task_runs_twice_at_a_time() {
+    check(RESUBMIT_AFTER);
+}
+
+/// Guards against two runs of a task at a time where callers submit again before a lost entry's grants
+/// of the default length are over.
+#[test]
+fn no_task_runs_twice_at_a_time_if_callers_submit_again_early() {
+    for resubmit_after in RESUBMIT_EARLY {
+        check(resubmit_after);
+    }
+}
