Blame no start that only seems to have been alone in a crash

What callers saw: a good job was answered as failed after one crash under it.

Cause: an agent reports a crash when the lease has expired, and drops the runs that had started. A start without an answer is kept, and was reported again as the only one there: when the backend server was back as another incarnation, and to dispatchers that connected before that. A start that is alone is blamed, so an innocent one counted as the sole cause of a crash, and its job was given up if a task of it had been near another crash.

Change: once runs of an incarnation have been dropped, its starts without an answer are blamed no more.

--- a/src/dispatch/agent_crashes.rs
+++ b/src/dispatch/agent_crashes.rs
@@ -59,6 +59,8 @@
     broken: bool,
     // The present incarnation accepts no connections.
     down: bool,
+    // Its runs have been dropped, and reported with its crash.
+    dropped: bool,
 }
 
 impl CrashLog {
@@ -93,17 +95,19 @@
         self.crash_log.down = false;
         self.crash_log.unreachable = 0;
         let (runs, unanswered) = self.split_runs();
+        self.crash_log.dropped = false;
         self.log_crash(now, runs, unanswered, out);
     }
 
-    /// The runs that are known to have started, and those whose start was not answered.
+    /// The runs that are known to have started, and those whose start was not answered. Without the
+    /// runs that have been dropped, a start that was beside them would seem to have been alone.
     fn split_runs(&self) -> (RunKeys, RunKeys) {
         let mut runs = Vec::new();
         let mut unanswered = Vec::new();
         for (key, agent_run) in self.runs.iter() {
             if agent_run.known_started {
                 runs.push(*key);
-            } else {
+            } else if !self.crash_log.dropped {
                 unanswered.push(*key);
             }
         }
@@ -175,12 +179,14 @@
             }
         }
         self.usage_report_due = true;
+        self.crash_log.dropped = true;
         self.log_crash(now, runs, unanswered, out);
     }
 
     /// The process answers after all: dispatchers may use the backend server again.
     pub(crate) fn recover_process(&mut self, out: &mut Vec<ServerAgentOutput>) {
         self.crash_log.broken = false;
+        self.crash_log.dropped = false;
         if std::mem::take(&mut self.crash_log.down) {
             self.report_to_informed(&AgentReport::Server(self.server.clone()), out);
         }
--- a/tests/patterns/deadly_tasks.rs
+++ b/tests/patterns/deadly_tasks.rs
@@ -1,6 +1,6 @@
 //! Tasks that crash every backend server that starts them, beside others that do not.
 
-use fulmardrift::{CallReply, JobId, JobStatus, TaskId};
+use fulmardrift::{CallReply, JobId, JobStatus, Millis, TaskId};
 
 use crate::fleet::{Fleet, job, submit};
 
@@ -183,3 +183,54 @@
     assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
     assert_eq!(fleet.answer(0, 2), Some(&COMPLETED));
 }
+
+/// A fleet in which a good job lost a run in a crash of its own, and whose next start gets no answer
+/// before a deadly task crashes the second backend server. That one is down, and its lease has expired.
+fn fleet_with_unanswered_start() -> Fleet {
+    const LONG_MS: u64 = 1_000;
+    // Long enough for the jobs to be of use after both crashes.
+    const ESTIMATE_MS: u64 = 10_000;
+    let mut fleet = Fleet::new(1, 2, LONG_MS);
+    fleet.run(SETTLED_MS);
+    fleet.agents[0].server.deadly = vec![task(1, 0)];
+    fleet.agents[1].server.deadly = vec![task(2, 0)];
+    fleet.agents[1].server.crash_age = Millis(500);
+    fleet.call(0, 1, submit(JobId(1), job(1, ESTIMATE_MS, true)), 20_000);
+    fleet.run(100);
+    assert_eq!(crashes(&fleet), 1);
+    fleet.call(0, 2, submit(JobId(2), job(1, ESTIMATE_MS, true)), 20_000);
+    fleet.run(20);
+    fleet.agents[1].mute = true;
+    fleet.run(480 + LEASE_MS + 100);
+    assert_eq!(crashes(&fleet), 2);
+    let runs = fleet.spans().into_iter().filter(|s| s.task == task(1, 0));
+    assert_eq!(runs.count(), 2);
+    fleet.agents[1].mute = false;
+    for slot in &mut fleet.agents {
+        slot.server.deadly.clear();
+    }
+    fleet
+}
+
+/// Guards against a good job that fails after two crashes (`hunt/59c6`): the agent reported the second
+/// one again when the backend server was back, without the runs that had ended with the lease, so that
+/// a start without an answer seemed to have been alone there.
+#[test]
+fn a_start_without_an_answer_beside_a_deadly_task_is_not_given_up() {
+    let mut fleet = fleet_with_unanswered_start();
+    fleet.run(DOWN_MS + 3_000);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+    assert_eq!(fleet.answer(0, 2), Some(&COMPLETED));
+}
+
+/// Guards against the same at an entry that first hears the agent while its backend server is down.
+#[test]
+fn an_entry_that_starts_later_does_not_give_up_a_start_without_an_answer() {
+    let mut fleet = fleet_with_unanswered_start();
+    fleet.kill_entry(0);
+    fleet.start_entry(0);
+    fleet.run(200);
+    fleet.call(0, 3, submit(JobId(1), job(1, 10_000, true)), 20_000);
+    fleet.run(DOWN_MS + 3_000);
+    assert_eq!(fleet.answer(0, 3), Some(&COMPLETED));
+}
