--- a/tests/log_bounds.rs
+++ b/tests/log_bounds.rs
@@ -10,10 +10,10 @@
 use std::sync::{Arc, Mutex};
 
 use fulmardrift::{
-    Call, CallReply, ClientAction, Command, Control, ControlInput, ControlOutput, DiskId,
-    Generation, Incarnation, JobId, JobKey, JobOutcome, JobSpec, JobStatus, Millis, OperatorConfig,
-    Raft, RaftInput, RaftOutput, RaftTiming, Record, Replica, ReplicaId, ReplicaInput,
-    ReplicaOutput, ReplicaTimes, RequestId, Storage, TimestampedCommand, Wal, first_disk,
+    Call, CallReply, ClientAction, Command, Control, ControlInput, ControlOutput, Generation,
+    Incarnation, JobId, JobKey, JobOutcome, JobSpec, JobStatus, Millis, OperatorConfig, Raft,
+    RaftInput, RaftOutput, RaftTiming, Record, Replica, ReplicaId, ReplicaInput, ReplicaOutput,
+    ReplicaTimes, RequestId, Storage, TimestampedCommand, Wal, first_disk,
 };
 
 use fleet::{config, job, submit};
