Hold only the latest of a task's runs to have been alone in its crash

What callers saw: a good job, submitted again to an entry that had started after two crashes under it, was answered as failed; the entry before would have run it.

Cause: a task is given up after two crashes if no other job ran at the last one. Agents report the crashes of the last minute to an entry that starts, and to a new leader, in any order, and the one heard last was held to be the last.

Change: run ids rise with time, so a crash counts as one alone only if its run is the latest known. The leader also compares with the runs that are recorded; how a record is applied is unchanged.

--- a/src/dispatch/crashes.rs
+++ b/src/dispatch/crashes.rs
@@ -6,7 +6,7 @@
 use super::replicated_state::{ReplicatedState, StateCommand};
 use super::run_trace::RunProof;
 use super::spec::{RunId, TaskId};
-use super::suspects::CrashedRun;
+use super::suspects::{CrashedRun, is_latest};
 use super::worker::WorkerId;
 use crate::core::clock::Millis;
 use crate::events;
@@ -85,7 +85,8 @@
             let stored = state.open_job(task.job).and_then(|j| j.task(task));
             stored.is_some_and(|task| !task.done)
         };
-        let mut record: Vec<_> = new.iter().filter(|r| is_open(r.task)).copied().collect();
+        let open = new.iter().filter(|row| is_open(row.task));
+        let mut record: Vec<_> = open.map(|row| judge_by_record(state, row)).collect();
         for row in &record {
             self.log_suspect(id, row);
         }
@@ -177,6 +178,16 @@
     }
 }
 
+/// The crash of a stored job's run as it is to be recorded. A new leader may learn of it after a later
+/// one.
+fn judge_by_record(state: &ReplicatedState, row: &CrashedRun) -> CrashedRun {
+    let known = state.crashes.get(&row.task).map_or(&[][..], Vec::as_slice);
+    CrashedRun {
+        alone: row.alone && is_latest(known, row.run),
+        ..*row
+    }
+}
+
 /// The runs that may have caused a crash. One whose start was not answered may not have begun; it is
 /// to blame only if nothing else was there.
 fn runs_to_blame<'a>(
--- a/src/dispatch/suspects.rs
+++ b/src/dispatch/suspects.rs
@@ -80,12 +80,12 @@
         let alone = jobs.all(|job| Some(job) == first);
         let mut crashed = Vec::with_capacity(begun.len());
         for (task, run) in begun {
-            let is_known = self.tasks.get(task).is_some_and(|s| s.runs.contains(run));
-            if !is_known && !self.is_given_up(*task) {
+            let known = self.tasks.get(task).map_or(&[][..], |s| &s.runs);
+            if !known.contains(run) && !self.is_given_up(*task) {
                 crashed.push(CrashedRun {
                     task: *task,
                     run: *run,
-                    alone,
+                    alone: alone && is_latest(known, *run),
                 });
             }
         }
@@ -207,6 +207,12 @@
     }
 }
 
+/// True when `run` was ordered after the other runs of its task. Agents may report the crashes under them
+/// in any order; only the last one shows a suspect without others.
+pub(crate) fn is_latest(others: &[RunId], run: RunId) -> bool {
+    others.iter().all(|other| *other <= run)
+}
+
 /// True when a task is given up after this many crashes; `alone` says that no other job ran on the
 /// last backend server.
 pub(crate) fn is_given_up(crashes: usize, alone: bool) -> bool {
--- a/tests/patterns/deadly_tasks.rs
+++ b/tests/patterns/deadly_tasks.rs
@@ -234,3 +234,33 @@
     fleet.run(DOWN_MS + 3_000);
     assert_eq!(fleet.answer(0, 3), Some(&COMPLETED));
 }
+
+/// Guards against a good job that fails at an entry which starts later and hears of the crashes in
+/// another order: the first one, in which no other job ran, comes last.
+#[test]
+fn crashes_that_are_heard_in_another_order_fail_no_good_job() {
+    const LONG_MS: u64 = 1_000;
+    const ESTIMATE_MS: u64 = 10_000;
+    let mut fleet = Fleet::new(1, 2, LONG_MS);
+    fleet.cut.push((0, 0));
+    fleet.run(SETTLED_MS);
+    fleet.agents[1].server.deadly = vec![task(1, 0)];
+    fleet.agents[0].server.deadly = vec![task(2, 0)];
+    fleet.call(0, 1, submit(JobId(1), job(1, ESTIMATE_MS, true)), 20_000);
+    fleet.run(100);
+    assert_eq!(crashes(&fleet), 1);
+    fleet.cut.clear();
+    fleet.run(LEASE_MS);
+    fleet.call(0, 2, submit(JobId(2), job(1, ESTIMATE_MS, true)), 20_000);
+    fleet.run(LEASE_MS + 200);
+    assert_eq!(crashes(&fleet), 2);
+    for slot in &mut fleet.agents {
+        slot.server.deadly.clear();
+    }
+    fleet.kill_entry(0);
+    fleet.start_entry(0);
+    fleet.run(DOWN_MS);
+    fleet.call(0, 3, submit(JobId(1), job(1, ESTIMATE_MS, true)), 20_000);
+    fleet.run(2 * LONG_MS);
+    assert_eq!(fleet.answer(0, 3), Some(&COMPLETED));
+}
