Drop outdated configurations that wait for a slow session

Cause: the leader sends each version whole to each entry, in order; 2,800 routes are 227 kB, 0.9 s at 2 Mbit/s. With a change each 330 ms, the versions that wait are sent one after the other.

Change: a configuration replaces those of which nothing has gone out yet.

Evidence: the_last_version_of_a_storm_of_changes_arrives_in_time took 7,290 ms with the versions queued as before, and takes 1,830 ms.

--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -93,6 +93,10 @@
     /// `docs/design/links.md`.
     fn is_urgent(&self) -> bool;
 
+    /// Returns true if the message makes earlier ones of its kind useless that still wait. Only one
+    /// kind of a session's messages may do so.
+    fn replaces_earlier(&self) -> bool;
+
     /// Name in log lines.
     fn kind(&self) -> &'static str;
 }
@@ -106,6 +110,10 @@
         }
     }
 
+    fn replaces_earlier(&self) -> bool {
+        false
+    }
+
     fn kind(&self) -> &'static str {
         match self {
             Self::Hello(_) => "Hello",
@@ -134,6 +142,10 @@
         }
     }
 
+    fn replaces_earlier(&self) -> bool {
+        matches!(self, Self::Config(_))
+    }
+
     fn kind(&self) -> &'static str {
         match self {
             Self::Status { .. } => "Status",
--- a/src/node/fragments.rs
+++ b/src/node/fragments.rs
@@ -65,6 +65,9 @@
     Urgent,
     /// It goes out after all bulk messages that were queued before it.
     Bulk,
+    /// A bulk message that makes the earlier ones of this priority useless. Those of which nothing has
+    /// gone out are dropped, so a slow session carries at most one that is outdated.
+    Latest,
 }
 
 /// Marks the first message of a session: its sender understands fragments.
@@ -96,6 +99,7 @@
 struct Waiting {
     number: u64,
     body: Vec<u8>,
+    is_latest: bool,
 }
 
 /// Queues encoded messages and turns them into frames.
@@ -149,17 +153,39 @@
         let bytes = body.len();
         ensure!(bytes <= MAX_MESSAGE, TooLongSnafu { bytes });
         ensure!(starts_message(&body), NotMessageSnafu);
+        let is_latest = priority == Priority::Latest;
+        if is_latest {
+            self.drop_outdated();
+        }
         self.bytes += bytes;
         self.last_number += 1;
         let number = self.last_number;
         let queue = match priority {
             Priority::Urgent => &mut self.urgent,
-            Priority::Bulk => &mut self.bulk,
+            Priority::Bulk | Priority::Latest => &mut self.bulk,
         };
-        queue.push_back(Waiting { number, body });
+        queue.push_back(Waiting {
+            number,
+            body,
+            is_latest,
+        });
         Ok(())
     }
 
+    /// Drops the messages that a newer one makes useless, but for one that goes out already.
+    fn drop_outdated(&mut self) {
+        let mut is_going_out = self.sent > 0;
+        let mut dropped = 0;
+        self.bulk.retain(|waiting| {
+            let keep = std::mem::take(&mut is_going_out) || !waiting.is_latest;
+            if !keep {
+                dropped += waiting.body.len();
+            }
+            keep
+        });
+        self.bytes -= dropped;
+    }
+
     /// Number of messages that have not gone out completely.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/node/frames.rs
+++ b/src/node/frames.rs
@@ -146,11 +146,15 @@
     /// The message could not be encoded.
     pub(crate) fn push<T: SessionMessage>(&mut self, message: &T) -> Result<(), FrameError> {
         let mut body = postcard::to_stdvec(message).context(DecodeSnafu)?;
-        if std::mem::take(&mut self.is_first) {
+        let is_first = std::mem::take(&mut self.is_first);
+        if is_first {
             announce_fragments(&mut body);
         }
         let priority = if message.is_urgent() {
             Priority::Urgent
+        } else if message.replaces_earlier() && !is_first {
+            // The first message carries the announcement, so it must go out.
+            Priority::Latest
         } else {
             Priority::Bulk
         };
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -146,6 +146,81 @@
     assert!(gap < SILENCE && age < SILENCE, "gap {gap} ms, age {age} ms");
 }
 
+/// A configuration of this many queues.
+fn config(version: u64, queues: u32) -> AcceptorMessage {
+    let queues = (0..queues).map(|number| Queue {
+        name: format!("a-queue-name-{number}"),
+        host: "a-host-name.example".to_owned(),
+        prefix: format!("/a-path/another/{number}/"),
+        settings: QueueSettings {
+            service: "a-service-name".to_owned(),
+            priority: 100,
+            attempts: 100,
+            slack: 1_000,
+            target: Millis(60_000),
+        },
+    });
+    AcceptorMessage::Config(Arc::new(OperatorConfig {
+        version,
+        queues: queues.collect(),
+        unguarded: Vec::new(),
+        document: Vec::new(),
+    }))
+}
+
+/// Guards against an entry that serves an outdated configuration (CONFIG) for as long as all versions
+/// of a storm of changes need on its slow link.
+#[test]
+fn the_last_version_of_a_storm_of_changes_arrives_in_time() {
+    /// 2 Mbit/s.
+    const RATE: usize = 250;
+    const VERSIONS: u64 = 12;
+    const INTERVAL: u64 = 330;
+    /// Time after which a version must be in force.
+    const IN_FORCE: u64 = 2_500;
+    let mut session = Session::new(RATE);
+    let mut sent_at = 0;
+    for version in 1..=VERSIONS {
+        sent_at = session.now;
+        let body = postcard::to_stdvec(&config(version, 2_800)).unwrap();
+        session.encoder.push(Priority::Latest, body).unwrap();
+        for _ in 0..INTERVAL {
+            session.step();
+        }
+    }
+    let last = postcard::to_stdvec(&config(VERSIONS, 2_800)).unwrap();
+    while session.arrived.iter().all(|(_, body)| *body != last) {
+        session.step();
+        assert!(session.now < 60_000, "the last version did not arrive");
+    }
+    let took = session.now - sent_at;
+    println!("{} bytes, {took} ms", last.len());
+    assert!(took <= IN_FORCE, "{took} ms");
+    assert!(session.encoder.is_empty());
+    assert_eq!(session.encoder.bytes(), 0);
+}
+
+/// Guards against a message that is dropped though a part of it has gone out.
+#[test]
+fn a_newer_version_drops_only_those_that_wait() {
+    let mut encoder = encoder();
+    let bodies: Vec<_> = (1..=3).map(|seed| message(3 * FRAGMENT, seed)).collect();
+    let other = message(100, 9);
+    let mut out = Vec::new();
+    encoder.push(Priority::Latest, bodies[0].clone()).unwrap();
+    encoder.fill(&mut out);
+    encoder.push(Priority::Latest, bodies[1].clone()).unwrap();
+    encoder.push(Priority::Bulk, other.clone()).unwrap();
+    encoder.push(Priority::Latest, bodies[2].clone()).unwrap();
+    while encoder.fill(&mut out) {}
+    let arrived = decode(&out).unwrap();
+    assert_eq!(
+        arrived,
+        [&bodies[0], &other, &bodies[2]].map(|b| Bytes::from(b.clone()))
+    );
+    assert_eq!((encoder.len(), encoder.bytes()), (0, 0));
+}
+
 #[test]
 fn urgent_messages_do_not_hold_up_bulk_messages() {
     let mut encoder = encoder();
