Give jobs that had to wait before their order the time that they waited

Found by the review: a job was refused at 70% of its time, counted from its arrival, though it had waited for order_wait first. Only where callers send jobs again so soon that this wait exists (under 698 ms); no test.

--- a/src/dispatch/call_expiry.rs
+++ b/src/dispatch/call_expiry.rs
@@ -62,7 +62,8 @@
         let mut refused = Vec::new();
         for (token, open) in self.open_calls.iter() {
             let allowed = open.deadline.since(open.received_at).0;
-            let give_up_after = Millis(allowed * GIVE_UP_PERCENT / 100);
+            // Each new job waits for `order_wait` before its tasks may be ordered.
+            let give_up_after = Millis(allowed * GIVE_UP_PERCENT / 100) + self.order_wait();
             let waited = now.since(open.received_at);
             let is_useless = match &open.route {
                 CallRoute::Local(id) => {
@@ -71,7 +72,7 @@
                         || self.dispatcher.blocks_useful_jobs(now, *id)
                 }
                 CallRoute::Parked(_) => waited >= MAX_PARKED,
-                CallRoute::Held { .. } => waited >= give_up_after + self.order_wait(),
+                CallRoute::Held { .. } => waited >= give_up_after,
                 CallRoute::Forward { .. } => false,
             };
             if is_useless {
