Bound the times that follow from limits at their extremes

Found by the review: a longest lease of 0 to 2 ms made hold calls follow each other at once, and a very long resend time kept outcomes of transient jobs as long. The page of the times said that processes may have different limits; they may not.

--- a/src/dispatch/times.rs
+++ b/src/dispatch/times.rs
@@ -37,8 +37,11 @@
 const MIN_LEASE: Millis = Millis(150);
 /// Hold calls that fit into a lease, so that it survives the loss of one.
 const HOLDS_PER_LEASE: u64 = 3;
-/// Shortest time for which the outcome of a transient job is kept.
+/// Shortest wait of a hold call, so that short leases do not make a call of each turn.
+const MIN_HOLD_WAIT: Millis = Millis(10);
+/// Shortest and longest time for which the outcome of a transient job is kept.
 const MIN_KEEP: Millis = Millis(5_000);
+const MAX_KEEP: Millis = Millis(60_000);
 
 /// What the users' settings say of times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,8 +64,8 @@
     }
 }
 
-/// Times of the dispatch protocol. Entries and agents derive them in the same way, and only those
-/// of one process need to fit each other: an agent is told when a grant ends.
+/// Times of the dispatch protocol. All processes need the same limits: an agent's heartbeats have to
+/// fit the grants of its entries, and an entry's `order_wait` the grants of the other entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Times {
     /// Time between two heartbeats of an agent to an entry.
@@ -119,10 +122,10 @@
             late_age: (limits.resend - lapse).max(MAX_GAP),
             max_silence: limits.resend - limits.stop - STOP_ORDER,
             order_wait: lapse + MAX_GAP - limits.resend,
-            keep_outcome: (limits.resend + limits.resend).max(MIN_KEEP),
+            keep_outcome: (limits.resend + limits.resend).clamp(MIN_KEEP, MAX_KEEP),
             max_lease: limits.max_lease,
             lease,
-            hold_wait: Millis(lease.0 / HOLDS_PER_LEASE),
+            hold_wait: Millis(lease.0 / HOLDS_PER_LEASE).max(MIN_HOLD_WAIT),
         }
     }
 
