Have the restarted founder of a test be needed again

Since a majority of the founders founds the group, the two others would have founded it without the one that was restarted, and the test would have held with a mark that is lost. It now runs that one and one other, so that a lost mark fails it.

--- a/tests/founding.rs
+++ b/tests/founding.rs
@@ -58,7 +58,8 @@
 }
 
 /// Guards against a system that never starts because the instance that founds the group was
-/// restarted before all others were up.
+/// restarted before all others were up. The third one is away, so that no group is founded without
+/// the one that was restarted.
 #[test]
 fn a_founder_that_is_restarted_before_the_group_exists_still_founds_it() {
     let data: Vec<TempDir> = (0..3).map(|_| TempDir::new().unwrap()).collect();
@@ -66,7 +67,6 @@
     drop(start(&seeds, 0, data[0].path(), true));
     let (_first, node) = start(&seeds, 0, data[0].path(), false);
     let _second = start(&seeds, 1, data[1].path(), true);
-    let _third = start(&seeds, 2, data[2].path(), true);
     assert!(has_leader(&node), "no group was founded");
 }
 
