--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -32,6 +32,8 @@
         optional --catch-up-s seconds: u64
         /// Bound on the files of an instance, in MB; default: unchecked.
         optional --file-bound-mb bytes: u64
+        /// Time after which callers send a job again, in ms, also in the settings; default 1300.
+        optional --resend-ms millis: u64
         /// Plays whole deployments; the flags below belong to them.
         optional --deployment
         /// Number of control instances; default 5.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -67,6 +67,8 @@
     pub then: u32,
     /// Kinds of jobs.
     pub mix: Mix,
+    /// Time after which callers send a job again that got no answer.
+    pub resend: Duration,
     /// Smallest and largest share of an entry, in thousandths of a core, if each process is held to its
     /// share of processor time.
     pub shares: Option<(u32, u32)>,
--- a/soak/src/fleet/callers.rs
+++ b/soak/src/fleet/callers.rs
@@ -20,8 +20,6 @@
 
 /// How long a caller waits for a response.
 const DEADLINE: Duration = Duration::from_millis(1_500);
-/// A job without an answer is sent again this long later.
-const RESEND: Duration = Duration::from_millis(1_300);
 /// Number of times a stored job is sent, and its state asked for.
 const ATTEMPTS: usize = 6;
 /// The state of a stored job is asked for this long after its acceptance.
@@ -221,7 +219,7 @@
                 Err(_) | Ok((StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT, _))
                     if attempt == 0 =>
                 {
-                    sleep(RESEND).await;
+                    sleep(self.options.resend).await;
                     continue;
                 }
                 _ => {}
@@ -246,7 +244,7 @@
                     break;
                 }
                 Err(_) | Ok((StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT, _)) => {
-                    sleep(RESEND).await;
+                    sleep(self.options.resend).await;
                 }
                 Ok(_) => return,
             }
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -13,10 +13,11 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::fleet::Shared;
-use crate::fleet::layout::{Class, GRACE_S, Host};
+use crate::fleet::layout::{Class, Host};
 use crate::fleet::plan::Step;
-use crate::process::LOG;
+use crate::process::{LOG, Process};
 use crate::proxy::Path;
+use crate::settings::GRACE_S;
 
 /// Pause between two looks at the processes.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -165,11 +166,7 @@
         let stopped = async {
             let mut process = self.process(host)?.lock().await;
             process.stop(Duration::from_secs(GRACE_S)).await?;
-            process.start(
-                &self.options.program,
-                &self.home(host),
-                &self.layout.settings(host, &self.home(host), false),
-            )
+            self.start_in(&mut process, host, false)
         };
         if let Err(error) = stopped.await {
             self.find(format!("FAULT: restart of {host}: {error}"));
@@ -178,13 +175,17 @@
     }
 
     pub(crate) async fn start(&self, host: Host, first: bool) -> io::Result<()> {
-        let home = self.home(host);
-        let settings = self.layout.settings(host, &home, first);
         let mut process = self.process(host)?.lock().await;
-        process.start(&self.options.program, &home, &settings)
+        self.start_in(&mut process, host, first)
     }
 
-    fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<crate::process::Process>> {
+    fn start_in(&self, process: &mut Process, host: Host, first: bool) -> io::Result<()> {
+        let (home, options) = (self.home(host), &self.options);
+        let settings = self.layout.settings(host, &home, first, options.resend);
+        process.start(&options.program, &home, &settings)
+    }
+
+    fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<Process>> {
         let found = self.processes.binary_search_by_key(&host, |(h, _)| *h);
         let at = found.map_err(|_| io::Error::from(io::ErrorKind::NotFound))?;
         Ok(&self.processes[at].1)
--- a/soak/src/fleet/layout.rs
+++ b/soak/src/fleet/layout.rs
@@ -3,24 +3,24 @@
 use std::fmt;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::time::Duration;
 
 use crate::group::reserve_network;
 use crate::proxy::{Path, Proxy};
+use crate::settings::{SESSION_PORT, Settings};
 
 /// Port at which an agent serves its backend server, and a control instance its operators.
 const CONTROL_PORT: u16 = 8166;
 const CALLER_PORT: u16 = 8161;
 const READINESS_PORT: u16 = 8167;
 const BACKEND_PORT: u16 = 8080;
-/// First port of the sessions between processes.
-const SESSION_PORT: u16 = 7720;
 /// Number of control instances that the settings name.
 const SEEDS: u8 = 3;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// Number of workers in a rack.
 const RACK: u8 = 8;
-/// A process is killed this long after SIGTERM, in seconds.
-pub(crate) const GRACE_S: u64 = 6;
+/// Size of a disk, in MB.
+const DISK_MB: u64 = 192;
 
 /// Kind of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -216,64 +216,49 @@
     }
 
     /// The settings file of a process.
-    pub(crate) fn settings(&self, host: Host, home: &std::path::Path, first: bool) -> String {
-        let seeds: Vec<String> = self
+    pub(crate) fn settings(
+        &self,
+        host: Host,
+        home: &std::path::Path,
+        first: bool,
+        resend: Duration,
+    ) -> String {
+        let seeds: Vec<_> = self
             .sizes
             .hosts(Class::Control)
             .take(usize::from(SEEDS))
-            .map(|seed| self.control(seed).to_string())
+            .map(|seed| self.control(seed))
             .collect();
         let bind_ip = self.bind_ip(host);
-        let listen = |port| format!("\"{}\"", SocketAddrV4::new(bind_ip, port));
-        let (serves, own, listen) = match host.class {
-            Class::Control => (
-                "control_plane",
-                format!("data_dir = \"{}\"\n", home.join("data").display()),
-                format!("control = {}\n", listen(CONTROL_PORT)),
-            ),
-            Class::Entry => (
-                "frontend",
-                String::new(),
-                format!(
-                    "frontend = {}\nreadiness = {}\n",
-                    listen(CALLER_PORT),
-                    listen(READINESS_PORT)
-                ),
-            ),
-            Class::Agent | Class::Backend | Class::Caller => (
-                "side",
-                format!("app = \"{}\"\n", self.backend(host.number)),
-                format!("control = {}\n", listen(CONTROL_PORT)),
-            ),
-        };
-        let bind = match self.proxy {
-            Some(_) => format!("bind_ip = \"{bind_ip}\"\n"),
-            None => String::new(),
+        let listen = |port| SocketAddrV4::new(bind_ip, port);
+        let callers = [
+            ("frontend", listen(CALLER_PORT)),
+            ("readiness", listen(READINESS_PORT)),
+        ];
+        let control = [("control", listen(CONTROL_PORT))];
+        let data = home.join("data");
+        let (serves, data_dir, app, listen): (_, _, _, &[_]) = match host.class {
+            Class::Control => ("control_plane", Some(data.as_path()), None, &control),
+            Class::Entry => ("frontend", None, None, &callers),
+            Class::Agent | Class::Backend | Class::Caller => {
+                ("side", None, Some(self.backend(host.number)), &control)
+            }
         };
-        let machines = (self.sizes.controls - 1) / 2;
-        format!(
-            "node_name = \"{host}\"\n\
-             serves = [\"{serves}\"]\n\
-             ip = \"{ip}\"\n\
-             {bind}\
-             zone = \"{zone}\"\n\
-             internal_ports = [{SESSION_PORT}, {last}]\n\
-             seeds = {seeds:?}\n\
-             bootstrap = {first}\n\
-             {own}\
-             [listen_addresses]\n\
-             {listen}\
-             [limits]\n\
-             disk_mb = 192\n\
-             [fault_tolerance]\n\
-             machines = {machines}\n\
-             [bounds]\n\
-             hold_max_ms = 1000\n\
-             status_s = 120\n\
-             grace_s = {GRACE_S}\n",
-            ip = self.ip(host),
-            zone = host.zone(),
-            last = SESSION_PORT + 15,
-        )
+        Settings {
+            name: &host.to_string(),
+            serves,
+            ip: self.ip(host),
+            bind_ip: self.proxy.is_some().then_some(bind_ip),
+            zone: host.zone(),
+            seeds: &seeds,
+            bootstrap: first,
+            data_dir,
+            app,
+            listen,
+            disk_mb: DISK_MB,
+            machines: (self.sizes.controls - 1) / 2,
+            resend,
+        }
+        .text()
     }
 }
--- a/soak/src/group.rs
+++ b/soak/src/group.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use rustix::process::Signal;
 use tempfile::TempDir;
@@ -11,11 +12,11 @@
 use crate::Options;
 use crate::plan::SLOTS;
 use crate::process::{LOG, Process, SETTINGS};
+use crate::settings::{SESSION_PORT, Settings};
 
 /// Port at which instances serve operators.
 const CONTROL_PORT: u16 = 8166;
-/// Port of the sessions between instances.
-const SESSION_PORT: u16 = 7720;
+const ZONE: &str = "zone-a";
 /// Last part of the address that reserves a run's addresses.
 const GUARD_HOST: u8 = 254;
 /// One instance and, while it runs, its process.
@@ -37,6 +38,7 @@
     directory: TempDir,
     program: PathBuf,
     disk_mb: u64,
+    resend: Duration,
     // Holds the addresses of the run as long as it lasts.
     _guard: TcpListener,
 }
@@ -58,6 +60,7 @@
             directory: TempDir::with_prefix("soak-")?,
             program: options.program.clone(),
             disk_mb: options.disk_mb,
+            resend: options.resend,
             _guard: guard,
         };
         for slot in 0..SLOTS {
@@ -71,7 +74,7 @@
     }
 
     fn home(&self, host: u8) -> PathBuf {
-        self.directory.path().join(format!("core-{host}"))
+        self.directory.path().join(instance_name(host))
     }
 
     /// A file on the disk of the instances.
@@ -81,12 +84,12 @@
 
     /// Addresses for operators of the instances that were not replaced.
     pub(crate) fn addresses(&self) -> Vec<SocketAddrV4> {
-        let ips = self.slots.iter().map(|slot| self.ip(slot.host));
-        ips.map(|ip| SocketAddrV4::new(ip, CONTROL_PORT)).collect()
+        let slots = self.slots.iter();
+        slots.map(|slot| self.address(slot.host)).collect()
     }
 
     pub(crate) fn name(&self, slot: usize) -> String {
-        format!("core-{}", self.slots[slot].host)
+        instance_name(self.slots[slot].host)
     }
 
     /// Names of the former instances that have not ended.
@@ -111,37 +114,31 @@
 
     fn settings(&self, host: u8, home: &Path, first: bool) -> String {
         let ip = self.ip(host);
-        let seeds: Vec<String> = if first {
-            (1..).take(SLOTS).map(|h| self.seed(h)).collect()
+        let seeds: Vec<_> = if first {
+            (1..).take(SLOTS).map(|h| self.address(h)).collect()
         } else {
-            self.slots.iter().map(|slot| self.seed(slot.host)).collect()
+            self.addresses()
         };
-        format!(
-            "node_name = \"core-{host}\"\n\
-             serves = [\"control_plane\"]\n\
-             ip = \"{ip}\"\n\
-             internal_ports = [{SESSION_PORT}, {last}]\n\
-             seeds = {seeds:?}\n\
-             bootstrap = {first}\n\
-             data_dir = \"{data}\"\n\
-             [listen_addresses]\n\
-             control = \"{ip}:{CONTROL_PORT}\"\n\
-             [limits]\n\
-             disk_mb = {disk}\n\
-             [fault_tolerance]\n\
-             machines = 1\n\
-             [bounds]\n\
-             hold_max_ms = 1000\n\
-             status_s = 120\n\
-             grace_s = 6\n",
-            last = SESSION_PORT + 15,
-            data = home.join("data").display(),
-            disk = self.disk_mb,
-        )
+        Settings {
+            name: &instance_name(host),
+            serves: "control_plane",
+            ip,
+            bind_ip: None,
+            zone: ZONE,
+            seeds: &seeds,
+            bootstrap: first,
+            data_dir: Some(&home.join("data")),
+            app: None,
+            listen: &[("control", self.address(host))],
+            disk_mb: self.disk_mb,
+            machines: 1,
+            resend: self.resend,
+        }
+        .text()
     }
 
-    fn seed(&self, host: u8) -> String {
-        SocketAddrV4::new(self.ip(host), CONTROL_PORT).to_string()
+    fn address(&self, host: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(host), CONTROL_PORT)
     }
 
     /// Kills the process of a slot.
@@ -235,6 +232,10 @@
     }
 }
 
+fn instance_name(host: u8) -> String {
+    format!("core-{host}")
+}
+
 /// Size of the files in an instance's data directory; files may vanish meanwhile.
 fn size(home: &Path) -> io::Result<u64> {
     let Ok(entries) = fs::read_dir(home.join("data")) else {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod regressions;
 mod relay;
 mod run;
+mod settings;
 mod stalls;
 
 use std::path::PathBuf;
@@ -39,6 +40,8 @@
     pub catch_up: Duration,
     /// Size of each disk, in MB, in the settings files.
     pub disk_mb: u64,
+    /// Time after which callers send a job again, in the settings files.
+    pub resend: Duration,
     /// Bound on the files of an instance, in bytes; 0: unchecked.
     pub file_bound: u64,
     /// Directory for the logs of runs with findings.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -14,6 +14,8 @@
 
 /// Size of a disk in the settings files, in MB.
 const DISK_MB: u64 = 128;
+/// Time after which callers send a job again.
+const RESEND_MS: u64 = 1_300;
 /// The settings files give sizes in units of this many bytes.
 const BYTES_PER_MB: u64 = 1_000_000;
 /// A configuration has at least one seventh of the routes of the largest.
@@ -77,6 +79,7 @@
         recovery: Duration::from_secs(flags.recovery_s.unwrap_or(12)),
         catch_up: Duration::from_secs(flags.catch_up_s.unwrap_or(4)),
         disk_mb: DISK_MB,
+        resend: Duration::from_millis(flags.resend_ms.unwrap_or(RESEND_MS)),
         file_bound: flags.file_bound_mb.unwrap_or(0) * BYTES_PER_MB,
         logs: Some(logs.unwrap_or_else(|| std::env::temp_dir().join("soak-logs"))),
     })
@@ -97,6 +100,7 @@
         per_second: flags.per_second.unwrap_or(90),
         then: flags.then.or(flags.per_second).unwrap_or(90),
         mix: flags.mix.unwrap_or_default(),
+        resend: group.resend,
         shares: flags.shares.then(|| {
             flags
                 .entry_share
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::group::Group;
 use crate::ledger::{Ledger, Report};
 use crate::plan::{self, Action};
+use crate::settings::GRACE_S;
 use crate::stalls::Stalls;
 
 /// Number of operators that send at the same time.
@@ -32,8 +33,6 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Delay after which a process that ended by itself is started again.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
-/// A leaving process is killed this long after SIGTERM.
-const GRACE: Duration = Duration::from_secs(6);
 /// One in so many changes is invalid.
 const INVALID: u32 = 20;
 /// Pause between the loss of all processes and their start.
@@ -245,7 +244,7 @@
 
     /// Kills the leaving processes that are still there after the grace period.
     async fn end_leaving(self: Arc<Self>) {
-        sleep(GRACE).await;
+        sleep(Duration::from_secs(GRACE_S)).await;
         let killed = self.group.lock().await.end_leaving().await;
         match killed {
             Ok(0) => {}
