Play first starts in the soak

A first start is now one of nine kinds (soak/src/first.rs), for deployments and control groups: one founder away, late, ended at once and started again with bootstrap = false, or frozen; all control instances or all processes killed after 10 to 900 ms, in half of the cases with lost disks, at most one of them a founder's; a start over 0.3 s in any order under shares; names and paths with spaces and other scripts.

A change must be acknowledged within the recovery time, else FAULT. In a control group this was not checked at all until the last fault. The logs of a process that never started are no longer an error of the run.

--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -4,7 +4,7 @@
 
 use std::path::PathBuf;
 
-use fulmardrift_soak::Mix;
+use fulmardrift_soak::{FirstStart, Mix};
 
 xflags::xflags! {
     /// Plays seeded faults against control groups, or whole deployments, of real processes.
@@ -19,6 +19,9 @@
         optional --groups count: usize
         /// Only the seeds that once failed.
         optional --regressions
+        /// How the processes start for the first time: together, away, late, ended, frozen, killed,
+        /// killed-all, spread or names; default: drawn by the seed.
+        optional --first-start kind: FirstStart
         /// The program `fulmardrift-platform`; default: beside this program.
         optional --program path: PathBuf
         /// Directory for the logs of failed seeds; default: soak-logs in the temporary directory.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -22,10 +22,11 @@
 use snafu::ResultExt;
 use tempfile::TempDir;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::client::Caller;
 use crate::document::Documents;
+use crate::first::{self, FirstStart};
 use crate::fleet::callers::{Rotation, Tally};
 use crate::fleet::faults::Calm;
 use crate::fleet::judge::Judge;
@@ -33,12 +34,13 @@
 use crate::fleet::server::Server;
 use crate::fleet::shares::{Keeper, Uses};
 use crate::ledger::{Ledger, Report};
-use crate::process::{LOG, Process, SETTINGS};
+use crate::process::{Process, keep_logs};
 use crate::run::{IoSnafu, SoakError, millis};
 use crate::stalls::Stalls;
 
 pub use callers::Mix;
 pub use layout::Sizes;
+pub use shares::ENTRY_SHARES;
 
 /// Number of operators that send at the same time.
 const OPERATORS: u64 = 2;
@@ -55,6 +57,8 @@
     pub program: PathBuf,
     /// Number of hosts of each class.
     pub sizes: Sizes,
+    /// How the processes start for the first time.
+    pub first_start: FirstStart,
     /// Time in which faults begin.
     pub length: Duration,
     /// True if the schedule has faults.
@@ -128,7 +132,9 @@
     }
     backends.spawn(server::tick(shared.servers.clone()));
     let began = Instant::now();
-    let keeper = if let Some(entry) = shared.options.shares {
+    let spread = shared.options.first_start == FirstStart::Spread;
+    let entry = spread.then_some(ENTRY_SHARES);
+    let keeper = if let Some(entry) = shared.options.shares.or(entry) {
         let mut handles = Vec::new();
         for (host, process) in &shared.processes {
             handles.push((*host, process.lock().await.handle()));
@@ -137,10 +143,6 @@
     } else {
         None
     };
-    for host in shared.layout.sizes.processes() {
-        let started = shared.start(host, true).await;
-        started.context(IoSnafu { what: "start" })?;
-    }
     let mut tasks = JoinSet::new();
     let machine = Arc::clone(&shared);
     tasks.spawn(async move {
@@ -173,7 +175,8 @@
 
 impl Shared {
     fn new(options: FleetOptions, seed: u64) -> io::Result<Self> {
-        let layout = Layout::reserve(options.sizes, options.cuts)?;
+        let suffix = options.first_start.suffix();
+        let layout = Layout::reserve(options.sizes, options.cuts, suffix)?;
         let documents = Documents {
             seed,
             routes: options.routes,
@@ -192,7 +195,7 @@
         };
         Ok(Self {
             seed,
-            directory: TempDir::with_prefix("soak-")?,
+            directory: TempDir::with_prefix(format!("soak{suffix}-"))?,
             processes: hosts
                 .iter()
                 .map(|host| (*host, tokio::sync::Mutex::default()))
@@ -234,18 +237,7 @@
 
     /// Starts callers and operators, plays the faults, and waits for the recovery.
     async fn play_all(self: &Arc<Self>, tasks: &mut JoinSet<()>) -> Option<Duration> {
-        let began = Instant::now();
-        let mut rng = Pcg64::seed_from_u64(self.seed);
-        let version = self.ledger().next_version(1);
-        let founded = self.change(version, &mut rng);
-        if tokio::time::timeout(2 * self.options.recovery, founded)
-            .await
-            .is_err()
-        {
-            self.find("FAULT: no configuration acknowledged after the start".to_owned());
-            return None;
-        }
-        if !self.wait_until_up(began).await {
+        if !self.start_all(tasks).await {
             return None;
         }
         self.note("all up");
@@ -265,7 +257,7 @@
                 options.cuts,
             );
             self.play(steps).await;
-            if !self.wait_until_up(Instant::now()).await {
+            if !self.wait_until_up(Instant::now(), None).await {
                 return None;
             }
             if let Err(error) = self.kill_after_change().await {
@@ -277,19 +269,64 @@
         let healed = Instant::now();
         self.rate.store(self.options.then, Ordering::Relaxed);
         self.note("all healed");
-        if !self.wait_until_up(healed).await {
+        if !self.wait_until_up(healed, None).await {
             return None;
         }
         let served = self.wait_until_served(healed).await;
         served.then(|| healed.elapsed())
     }
 
-    /// Waits until all processes are up, all entries are ready and a configuration can be read.
-    async fn wait_until_up(&self, since: Instant) -> bool {
+    /// Starts all processes, and waits until they serve.
+    async fn start_all(self: &Arc<Self>, tasks: &mut JoinSet<()>) -> bool {
+        let (kind, sizes) = (self.options.first_start, self.layout.sizes);
+        let controls = usize::from(sizes.controls);
+        let first = first::plan(kind, self.seed, controls, self.processes.len());
+        let whole = Instant::now() + first.whole;
+        let missing = first
+            .missing
+            .map(|(number, step)| (self.processes[number].0, step));
+        if let Some((host, _)) = missing {
+            self.disturb(host, true);
+        }
+        tasks.spawn(Arc::clone(self).play_first(first.steps));
+        let mut rng = Pcg64::seed_from_u64(self.seed);
+        let version = self.ledger().next_version(1);
+        let founded = self.change(version, &mut rng);
+        let bound = match kind {
+            FirstStart::Together => 2 * self.options.recovery,
+            _ => self.options.recovery,
+        };
+        if timeout_at(whole + bound, founded).await.is_err() {
+            self.find("FAULT: no configuration acknowledged after the start".to_owned());
+            return false;
+        }
+        if !self
+            .wait_until_up(whole, missing.map(|(host, _)| host))
+            .await
+        {
+            return false;
+        }
+        if let Some((_, step)) = missing {
+            self.note("up but for one");
+            Arc::clone(self).play_first(vec![(0, step)]).await;
+            if !self.wait_until_up(Instant::now(), None).await {
+                return false;
+            }
+        }
+        if kind != FirstStart::Together {
+            // A disk may be lost once all have caught up.
+            sleep(self.options.catch_up).await;
+        }
+        true
+    }
+
+    /// Waits until all processes are up, all entries are ready and a configuration can be
+    /// read; `but` may be missing.
+    async fn wait_until_up(&self, since: Instant, but: Option<Host>) -> bool {
         loop {
             let mut missing: Vec<String> = Vec::new();
             for (host, process) in &self.processes {
-                if !process.lock().await.is_up() {
+                if Some(*host) != but && !process.lock().await.is_up() {
                     missing.push(host.to_string());
                 }
             }
@@ -367,8 +404,9 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let mut counts = format!(
-            "sent={} served={} served_at_the_end={served} of {finished} starts={} acknowledged={} \
+            "first_start={} sent={} served={} served_at_the_end={served} of {finished} starts={} acknowledged={} \
              stalls={} first_served_ms={} recovered_ms={}",
+            self.options.first_start,
             load(&self.tally.sent),
             load(&self.tally.all_served),
             self.judge.starts(),
@@ -385,10 +423,7 @@
         let target = target.map(|logs| logs.join(format!("fleet-{}", self.seed)));
         let copy = |target: &std::path::Path| {
             for (host, _) in &self.processes {
-                for file in [LOG, SETTINGS] {
-                    let from = self.home(*host).join(file);
-                    std::fs::copy(from, target.join(format!("{host}.{file}")))?;
-                }
+                keep_logs(&self.home(*host), target, &host.to_string())?;
             }
             Ok(())
         };
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -12,6 +12,7 @@
 use rand_pcg::Pcg64;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::first;
 use crate::fleet::Shared;
 use crate::fleet::layout::{Class, Host};
 use crate::fleet::plan::Step;
@@ -66,6 +67,35 @@
         }
     }
 
+    /// Carries out the steps of a first start.
+    pub(crate) async fn play_first(self: Arc<Self>, steps: Vec<(u64, first::Step)>) {
+        let began = Instant::now();
+        for (at, step) in steps {
+            sleep_until(began + Duration::from_millis(at)).await;
+            let host = |number: usize| self.processes[number].0;
+            let (host, step) = match step {
+                first::Step::Start(number, true) => (host(number), None),
+                first::Step::Start(number, false) => {
+                    (host(number), Some(Step::Start(host(number))))
+                }
+                first::Step::Kill(number) => (host(number), Some(Step::Kill(host(number)))),
+                first::Step::Wipe(number) => (host(number), Some(Step::Wipe(host(number)))),
+                first::Step::Freeze(number) => (host(number), Some(Step::Freeze(host(number)))),
+                first::Step::Thaw(number) => (host(number), Some(Step::Thaw(host(number)))),
+            };
+            let what = step.as_ref().map(describe);
+            let what = what.unwrap_or_else(|| format!("first start of {host}"));
+            self.note(&what);
+            let done = match step {
+                Some(step) => self.carry_out(step).await,
+                None => self.start(host, true).await,
+            };
+            if let Err(error) = done {
+                self.find(format!("cannot {what}: {error}"));
+            }
+        }
+    }
+
     /// All processes are killed the moment a change is acknowledged, and as many control instances as
     /// is tolerated lose their disks. Of the other logs, what was written after that is cut off in
     /// part, as it may not have been synced.
@@ -192,11 +222,11 @@
     }
 
     pub(crate) fn home(&self, host: Host) -> PathBuf {
-        self.directory.path().join(host.to_string())
+        self.directory.path().join(self.layout.name(host))
     }
 
     /// Notes that a fault has begun or ended at a host.
-    fn disturb(&self, host: Host, begins: bool) {
+    pub(crate) fn disturb(&self, host: Host, begins: bool) {
         let mut calm = self.calm();
         if let Ok(at) = calm.binary_search_by_key(&host, |calm| calm.host) {
             let calm = &mut calm[at];
--- a/soak/src/fleet/layout.rs
+++ b/soak/src/fleet/layout.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::time::Duration;
 
+use crate::first::FOUNDERS;
 use crate::group::reserve_network;
 use crate::proxy::{Path, Proxy};
 use crate::settings::{SESSION_PORT, Settings};
@@ -14,8 +15,6 @@
 const CALLER_PORT: u16 = 8161;
 const READINESS_PORT: u16 = 8167;
 const BACKEND_PORT: u16 = 8080;
-/// Number of control instances that the settings name.
-const SEEDS: u8 = 3;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// Number of workers in a rack.
 const RACK: u8 = 8;
@@ -115,6 +114,8 @@
 pub(crate) struct Layout {
     pub(crate) sizes: Sizes,
     network: [u8; 2],
+    /// End of the names of machines and paths.
+    suffix: &'static str,
     /// Paths between the hosts, if they can be cut.
     pub(crate) proxy: Option<Proxy>,
     // Holds the addresses of the run as long as it lasts.
@@ -122,11 +123,12 @@
 }
 
 impl Layout {
-    pub(crate) fn reserve(sizes: Sizes, proxied: bool) -> io::Result<Self> {
+    pub(crate) fn reserve(sizes: Sizes, proxied: bool, suffix: &'static str) -> io::Result<Self> {
         let (network, guard) = reserve_network()?;
         Ok(Self {
             sizes,
             network,
+            suffix,
             proxy: proxied.then(Proxy::new),
             _guard: guard,
         })
@@ -215,6 +217,10 @@
         SocketAddrV4::new(self.bind_ip(host), BACKEND_PORT)
     }
 
+    pub(crate) fn name(&self, host: Host) -> String {
+        format!("{host}{}", self.suffix)
+    }
+
     /// The settings file of a process.
     pub(crate) fn settings(
         &self,
@@ -226,7 +232,7 @@
         let seeds: Vec<_> = self
             .sizes
             .hosts(Class::Control)
-            .take(usize::from(SEEDS))
+            .take(FOUNDERS)
             .map(|seed| self.control(seed))
             .collect();
         let bind_ip = self.bind_ip(host);
@@ -245,7 +251,7 @@
             }
         };
         Settings {
-            name: &host.to_string(),
+            name: &self.name(host),
             serves,
             ip: self.ip(host),
             bind_ip: self.proxy.is_some().then_some(bind_ip),
--- a/soak/src/fleet/shares.rs
+++ b/soak/src/fleet/shares.rs
@@ -20,7 +20,9 @@
 /// Shortest time between two looks at a process. What it uses beyond its quota until then counts
 /// towards the next period.
 const LOOK: Duration = Duration::from_millis(2);
-/// Shares, in thousandths of a core. Each entry draws its own.
+/// Shares of the entries of the users' sites, in thousandths of a core. Each entry draws its own.
+pub const ENTRY_SHARES: (u32, u32) = (90, 300);
+/// Shares of the others, in thousandths of a core.
 const CONTROL: u32 = 400;
 const AGENT: u32 = 150;
 
--- a/soak/src/group.rs
+++ b/soak/src/group.rs
@@ -11,7 +11,7 @@
 
 use crate::Options;
 use crate::plan::SLOTS;
-use crate::process::{LOG, Process, SETTINGS};
+use crate::process::{Process, keep_logs};
 use crate::settings::{SESSION_PORT, Settings};
 
 /// Port at which instances serve operators.
@@ -37,6 +37,8 @@
     next_host: u8,
     directory: TempDir,
     program: PathBuf,
+    /// End of the names of machines and paths.
+    suffix: &'static str,
     disk_mb: u64,
     resend: Duration,
     // Holds the addresses of the run as long as it lasts.
@@ -44,29 +46,27 @@
 }
 
 impl Group {
-    /// Starts the first instances.
-    pub(crate) fn found(options: &Options) -> io::Result<Self> {
+    /// The first instances; none has started.
+    pub(crate) fn new(options: &Options) -> io::Result<Self> {
         let (network, guard) = reserve_network()?;
         let first = (0..SLOTS).zip(1..).map(|(_, host)| Instance {
             host,
             process: Process::default(),
         });
         let slots: Vec<Instance> = first.collect();
-        let mut group = Self {
+        let suffix = options.first_start.suffix();
+        Ok(Self {
             next_host: slots.last().map_or(1, |last| last.host + 1),
             slots,
             leaving: Vec::new(),
             network,
-            directory: TempDir::with_prefix("soak-")?,
+            directory: TempDir::with_prefix(format!("soak{suffix}-"))?,
+            suffix,
             program: options.program.clone(),
             disk_mb: options.disk_mb,
             resend: options.resend,
             _guard: guard,
-        };
-        for slot in 0..SLOTS {
-            group.start(slot, true)?;
-        }
-        Ok(group)
+        })
     }
 
     fn ip(&self, host: u8) -> Ipv4Addr {
@@ -74,7 +74,9 @@
     }
 
     fn home(&self, host: u8) -> PathBuf {
-        self.directory.path().join(instance_name(host))
+        self.directory
+            .path()
+            .join(instance_name(host) + self.suffix)
     }
 
     /// A file on the disk of the instances.
@@ -120,7 +122,7 @@
             self.addresses()
         };
         Settings {
-            name: &instance_name(host),
+            name: &format!("{}{}", instance_name(host), self.suffix),
             serves: "control_plane",
             ip,
             bind_ip: None,
@@ -221,12 +223,7 @@
     /// Copies settings and logs of all instances to `target`.
     pub(crate) fn keep_logs(&self, target: &Path) -> io::Result<()> {
         for host in 1..self.next_host {
-            for file in [LOG, SETTINGS] {
-                let from = self.home(host).join(file);
-                if from.exists() {
-                    fs::copy(from, target.join(format!("core-{host}.{file}")))?;
-                }
-            }
+            keep_logs(&self.home(host), target, &instance_name(host))?;
         }
         Ok(())
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod document;
+mod first;
 mod fleet;
 mod group;
 mod ledger;
@@ -19,7 +20,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-pub use fleet::{FleetOptions, Mix, Sizes, run_fleet};
+pub use first::FirstStart;
+pub use fleet::{ENTRY_SHARES, FleetOptions, Mix, Sizes, run_fleet};
 pub use ledger::Report;
 pub use proxy::{Path, Proxy};
 pub use regressions::{REGRESSIONS, Regression};
@@ -30,6 +32,8 @@
 pub struct Options {
     /// The program `fulmardrift-platform`.
     pub program: PathBuf,
+    /// How the instances start for the first time.
+    pub first_start: FirstStart,
     /// Time in which faults begin.
     pub length: Duration,
     /// Smallest and largest number of routes in a configuration.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use fulmardrift_soak::{
-    FleetOptions, Options, REGRESSIONS, Report, Sizes, SoakError, run, run_fleet,
+    ENTRY_SHARES, FirstStart, FleetOptions, Options, REGRESSIONS, Report, Sizes, SoakError, run,
+    run_fleet,
 };
 use tokio::task::JoinSet;
 
@@ -24,8 +25,6 @@
 const ACK: Duration = Duration::from_secs(5);
 const APPLY: Duration = Duration::from_millis(2_500);
 const CONTACT: Duration = Duration::from_secs(4);
-/// Shares of the entries of the users' sites, in thousandths of a core.
-const ENTRY_SHARES: (u32, u32) = (90, 300);
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -40,10 +39,14 @@
     let groups = flags.groups.unwrap_or(1);
     let first = flags.first.unwrap_or(1);
     let seeds = first..first + flags.seeds.unwrap_or(50);
+    let first_start = |seed| flags.first_start.unwrap_or_else(|| FirstStart::draw(seed));
     if flags.deployment {
         let options = fleet_options(&flags, &options);
         let run = |seed| {
-            let options = options.clone();
+            let options = FleetOptions {
+                first_start: first_start(seed),
+                ..options.clone()
+            };
             async move { print(run_fleet(options, seed).await) }
         };
         return run_all(seeds.map(run).collect(), groups).await;
@@ -57,6 +60,7 @@
     };
     let run = |(seed, length)| {
         let options = Options {
+            first_start: first_start(seed),
             length,
             ..options.clone()
         };
@@ -74,6 +78,7 @@
     let logs = flags.logs.clone();
     Ok(Options {
         program,
+        first_start: FirstStart::Together,
         length: Duration::from_secs(flags.seconds.unwrap_or(30)),
         routes: (routes / SIZE_RANGE, routes),
         recovery: Duration::from_secs(flags.recovery_s.unwrap_or(12)),
@@ -94,6 +99,7 @@
             entries: flags.entries.unwrap_or(10),
             agents: flags.agents.unwrap_or(58),
         },
+        first_start: group.first_start,
         length: group.length,
         faults: !flags.no_faults,
         cuts: !flags.no_cuts,
@@ -102,9 +108,8 @@
         mix: flags.mix.unwrap_or_default(),
         resend: group.resend,
         shares: flags.shares.then(|| {
-            flags
-                .entry_share
-                .map_or(ENTRY_SHARES, |share| (share, share))
+            let own = flags.entry_share.map(|share| (share, share));
+            own.unwrap_or(ENTRY_SHARES)
         }),
         routes: (routes / SIZE_RANGE, routes),
         ack: ACK,
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -18,7 +18,7 @@
 /// Name of the log in a process's directory.
 pub(crate) const LOG: &str = "log";
 /// Name of the settings file in a process's directory.
-pub(crate) const SETTINGS: &str = "settings.toml";
+const SETTINGS: &str = "settings.toml";
 
 /// A process while it runs, or the place of one that does not.
 #[derive(Debug, Default)]
@@ -173,3 +173,14 @@
         self.handle.running().signal(signal)
     }
 }
+
+/// Copies settings and log of a process, if it was ever started.
+pub(crate) fn keep_logs(home: &Path, target: &Path, name: &str) -> io::Result<()> {
+    for file in [LOG, SETTINGS] {
+        let from = home.join(file);
+        if from.exists() {
+            fs::copy(from, target.join(format!("{name}.{file}")))?;
+        }
+    }
+    Ok(())
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -10,11 +10,12 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::Options;
 use crate::client::{Answer, Caller};
 use crate::document::Documents;
+use crate::first::{self, FirstStart};
 use crate::group::Group;
 use crate::ledger::{Ledger, Report};
 use crate::plan::{self, Action};
@@ -81,7 +82,7 @@
 ///
 /// A process cannot be started or a file cannot be written.
 pub async fn run(options: Options, seed: u64) -> Result<Report, SoakError> {
-    let group = Group::found(&options).context(IoSnafu { what: "start" })?;
+    let group = Group::new(&options).context(IoSnafu { what: "set up" })?;
     let documents = Documents {
         seed,
         routes: options.routes,
@@ -91,7 +92,7 @@
         documents,
         ledger: Mutex::new(Ledger::new(documents)),
         group: tokio::sync::Mutex::new(group),
-        up_since: Mutex::new(Some(Instant::now())),
+        up_since: Mutex::new(None),
         stalls: Stalls::new(),
         acks: watch::Sender::new(0),
         options,
@@ -109,7 +110,7 @@
     for number in 0..OPERATORS {
         operators.spawn(operate(Arc::clone(&shared), number));
     }
-    let recovered_in = play(&shared, &mut operators)
+    let recovered_in = play(&shared, &mut watchers, &mut operators)
         .await
         .context(IoSnafu { what: "fault" })?;
     watchers.shutdown().await;
@@ -121,7 +122,8 @@
     group.kill_all().await.context(IoSnafu { what: "stop" })?;
     let ledger = shared.ledger();
     let counts = format!(
-        "acknowledged={} refused={} reads={} longest_gap_ms={} stalls={} recovered_ms={}",
+        "first_start={} acknowledged={} refused={} reads={} longest_gap_ms={} stalls={} recovered_ms={}",
+        shared.options.first_start,
         ledger.acknowledgements(),
         ledger.refusals(),
         ledger.reads,
@@ -143,8 +145,15 @@
 
 /// Carries out the schedule, then loses a disk right after an acknowledgement while all processes
 /// are killed. Returns how long the first read took after that.
-async fn play(shared: &Arc<Shared>, operators: &mut JoinSet<()>) -> io::Result<Option<Duration>> {
+async fn play(
+    shared: &Arc<Shared>,
+    watchers: &mut JoinSet<()>,
+    operators: &mut JoinSet<()>,
+) -> io::Result<Option<Duration>> {
     let options = &shared.options;
+    if !shared.start_all(watchers).await? {
+        return Ok(None);
+    }
     let (steps, (last, slot)) = plan::plan(shared.seed, options.length, options.catch_up);
     let mut before = 0;
     let mut done = Instant::now();
@@ -183,6 +192,54 @@
         self.up_since.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Starts all instances, and waits until a change is acknowledged if their start is disturbed.
+    async fn start_all(self: &Arc<Self>, tasks: &mut JoinSet<()>) -> io::Result<bool> {
+        let (kind, recovery) = (self.options.first_start, self.options.recovery);
+        let first = first::plan(kind, self.seed, plan::SLOTS, plan::SLOTS);
+        let whole = Instant::now() + first.whole;
+        if kind == FirstStart::Together {
+            self.play_first(first.steps).await?;
+            return Ok(true);
+        }
+        let shared = Arc::clone(self);
+        tasks.spawn(async move {
+            if let Err(error) = shared.play_first(first.steps).await {
+                shared.ledger().find(format!("cannot start: {error}"));
+            }
+        });
+        let mut acks = self.acks.subscribe();
+        let founded = acks.wait_for(|count| *count > 0);
+        if timeout_at(whole + recovery, founded).await.is_err() {
+            let finding = "FAULT: no configuration acknowledged after the start";
+            self.ledger().find(finding.to_owned());
+            return Ok(false);
+        }
+        if let Some((_, step)) = first.missing {
+            self.play_first(vec![(0, step)]).await?;
+        }
+        // The first step of the schedule may lose a disk.
+        sleep(self.options.catch_up).await;
+        Ok(true)
+    }
+
+    async fn play_first(&self, steps: Vec<(u64, first::Step)>) -> io::Result<()> {
+        let began = Instant::now();
+        for (at, step) in steps {
+            sleep_until(began + Duration::from_millis(at)).await;
+            let mut group = self.group.lock().await;
+            self.ledger().note(&format!("first start: {step:?}"));
+            match step {
+                first::Step::Start(slot, first) => group.start(slot, first)?,
+                first::Step::Kill(slot) => group.kill(slot).await?,
+                first::Step::Wipe(slot) => group.wipe(slot)?,
+                first::Step::Freeze(slot) => group.freeze(slot, true)?,
+                first::Step::Thaw(slot) => group.freeze(slot, false)?,
+            }
+            *self.up_since() = group.all_up().then(Instant::now);
+        }
+        Ok(())
+    }
+
     async fn carry_out(self: &Arc<Self>, action: Action) -> io::Result<()> {
         let mut group = self.group.lock().await;
         self.restart_ended(&mut group).await;
--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -38,20 +38,16 @@
     /// The file's text.
     pub(crate) fn text(&self) -> String {
         let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
-        let mut own = String::new();
-        if let Some(ip) = self.bind_ip {
-            own += &format!("bind_ip = \"{ip}\"\n");
-        }
-        if let Some(path) = self.data_dir {
-            own += &format!("data_dir = \"{}\"\n", path.display());
-        }
-        if let Some(app) = self.app {
-            own += &format!("app = \"{app}\"\n");
-        }
+        let data_dir = self.data_dir.map(Path::display);
+        let own = [
+            self.bind_ip.map(|ip| format!("bind_ip = \"{ip}\"\n")),
+            data_dir.map(|path| format!("data_dir = \"{path}\"\n")),
+            self.app.map(|app| format!("app = \"{app}\"\n")),
+        ];
+        let own: String = own.into_iter().flatten().collect();
         let listen = self.listen.iter();
-        let listen: String = listen
-            .map(|(name, address)| format!("{name} = \"{address}\"\n"))
-            .collect();
+        let listen = listen.map(|(name, address)| format!("{name} = \"{address}\"\n"));
+        let listen = listen.collect::<Vec<_>>().concat();
         format!(
             "node_name = \"{name}\"\n\
              serves = [\"{serves}\"]\n\
