Give both halves of the soak one layout, starter and place for logs

A control group had addresses, directories, names, settings, disks and logs of its own (group.rs); it now has the Layout of a deployment without entries and agents (soak/src/layout.rs, before soak/src/fleet/layout.rs), which also reserves the network, starts a process, empties a disk and keeps logs. Nothing that is checked or played has changed; the schedules are drawn as before. Where things are: reserve_network, settings, wipe and keep_logs of group.rs -> layout.rs; home, start and Step::Wipe's removal of faults.rs -> layout.rs; file sizes, replacement and leaving stay in group.rs.

"CONFIG: .. group whole for" now says "group undisturbed for", as a late founder may be missing.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -4,7 +4,6 @@
 mod callers;
 mod faults;
 mod judge;
-mod layout;
 mod operate;
 mod plan;
 mod server;
@@ -20,7 +19,6 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use snafu::ResultExt;
-use tempfile::TempDir;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -30,22 +28,24 @@
 use crate::fleet::callers::{Rotation, Tally};
 use crate::fleet::faults::Calm;
 use crate::fleet::judge::Judge;
-use crate::fleet::layout::{Class, Host, Layout};
 use crate::fleet::server::Server;
 use crate::fleet::shares::{Keeper, Uses};
+use crate::layout::{Class, Host, Layout, Place};
 use crate::ledger::{Ledger, Report};
-use crate::process::{Process, keep_logs};
+use crate::process::Process;
 use crate::run::{IoSnafu, SoakError, millis};
 use crate::stalls::Stalls;
 
+pub use crate::layout::Sizes;
 pub use callers::Mix;
-pub use layout::Sizes;
 pub use shares::ENTRY_SHARES;
 
 /// Number of operators that send at the same time.
 const OPERATORS: u64 = 2;
 /// Longest time in which the agents hear their backend servers for the first time.
 const SETTLE: Duration = Duration::from_millis(2_500);
+/// Size of a disk, in MB.
+const DISK_MB: u64 = 192;
 const POLL: Duration = Duration::from_millis(100);
 /// Time over which the callers' success is counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -100,7 +100,6 @@
     options: FleetOptions,
     seed: u64,
     layout: Layout,
-    directory: TempDir,
     /// Processes by host, sorted.
     processes: Vec<(Host, tokio::sync::Mutex<Process>)>,
     /// When each host was last disturbed, sorted by host.
@@ -146,7 +145,7 @@
     let mut tasks = JoinSet::new();
     let machine = Arc::clone(&shared);
     tasks.spawn(async move {
-        let probe = machine.directory.path().join("probe");
+        let probe = machine.layout.probe_file();
         machine.stalls.watch(probe, &machine.ledger).await;
     });
     tasks.spawn(Arc::clone(&shared).watch());
@@ -175,8 +174,13 @@
 
 impl Shared {
     fn new(options: FleetOptions, seed: u64) -> io::Result<Self> {
-        let suffix = options.first_start.suffix();
-        let layout = Layout::reserve(options.sizes, options.cuts, suffix)?;
+        let place = Place {
+            program: options.program.clone(),
+            suffix: options.first_start.suffix(),
+            disk_mb: DISK_MB,
+            resend: options.resend,
+        };
+        let layout = Layout::reserve(options.sizes, options.cuts, place)?;
         let documents = Documents {
             seed,
             routes: options.routes,
@@ -195,7 +199,6 @@
         };
         Ok(Self {
             seed,
-            directory: TempDir::with_prefix(format!("soak{suffix}-"))?,
             processes: hosts
                 .iter()
                 .map(|host| (*host, tokio::sync::Mutex::default()))
@@ -423,7 +426,7 @@
         let target = target.map(|logs| logs.join(format!("fleet-{}", self.seed)));
         let copy = |target: &std::path::Path| {
             for (host, _) in &self.processes {
-                keep_logs(&self.home(*host), target, &host.to_string())?;
+                self.layout.keep_logs(*host, target)?;
             }
             Ok(())
         };
--- a/soak/src/fleet/callers.rs
+++ b/soak/src/fleet/callers.rs
@@ -16,7 +16,7 @@
 use crate::document::{HOST, QUEUE};
 use crate::fleet::Shared;
 use crate::fleet::judge::STORED;
-use crate::fleet::layout::{Class, Host};
+use crate::layout::{Class, Host};
 
 /// How long a caller waits for a response.
 const DEADLINE: Duration = Duration::from_millis(1_500);
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -3,7 +3,6 @@
 use std::fs::{self, File};
 use std::io;
 use std::os::unix::fs::MetadataExt;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,8 +13,8 @@
 
 use crate::first;
 use crate::fleet::Shared;
-use crate::fleet::layout::{Class, Host};
 use crate::fleet::plan::Step;
+use crate::layout::{Class, Host};
 use crate::process::{LOG, Process};
 use crate::proxy::Path;
 use crate::settings::GRACE_S;
@@ -107,7 +106,7 @@
         self.change(version, &mut rng).await;
         let acknowledged = self.ledger().acknowledgements();
         let controls: Vec<Host> = self.layout.sizes.hosts(Class::Control).collect();
-        let log = |host: Host| self.home(host).join("data").join(CONTROL_LOG);
+        let log = |host: Host| self.layout.data(host).join(CONTROL_LOG);
         let logs: Vec<_> = controls
             .iter()
             .map(|host| fs::metadata(log(*host)))
@@ -132,7 +131,7 @@
         for (host, before) in controls.iter().zip(logs) {
             if lost.contains(&host) {
                 self.note(&describe(&Step::Wipe(*host)));
-                fs::remove_dir_all(self.home(*host).join("data"))?;
+                self.layout.wipe(*host)?;
             } else if may_cut {
                 let (before, now) = (before?, fs::metadata(log(*host))?);
                 if before.ino() == now.ino() && before.len() < now.len() {
@@ -174,10 +173,7 @@
                 self.disturb(host, false);
                 thawed
             }
-            Step::Wipe(host) => match fs::remove_dir_all(self.home(host).join("data")) {
-                Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
-                _ => Ok(()),
-            },
+            Step::Wipe(host) => self.layout.wipe(host),
             Step::Backend(number, mode) => {
                 self.servers[usize::from(number)].set(mode);
                 Ok(())
@@ -196,7 +192,8 @@
         let stopped = async {
             let mut process = self.process(host)?.lock().await;
             process.stop(Duration::from_secs(GRACE_S)).await?;
-            self.start_in(&mut process, host, false)
+            self.layout
+                .start(&mut process, host, false, &self.layout.founders())
         };
         if let Err(error) = stopped.await {
             self.find(format!("FAULT: restart of {host}: {error}"));
@@ -206,13 +203,8 @@
 
     pub(crate) async fn start(&self, host: Host, first: bool) -> io::Result<()> {
         let mut process = self.process(host)?.lock().await;
-        self.start_in(&mut process, host, first)
-    }
-
-    fn start_in(&self, process: &mut Process, host: Host, first: bool) -> io::Result<()> {
-        let (home, options) = (self.home(host), &self.options);
-        let settings = self.layout.settings(host, &home, first, options.resend);
-        process.start(&options.program, &home, &settings)
+        let seeds = self.layout.founders();
+        self.layout.start(&mut process, host, first, &seeds)
     }
 
     fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<Process>> {
@@ -221,10 +213,6 @@
         Ok(&self.processes[at].1)
     }
 
-    pub(crate) fn home(&self, host: Host) -> PathBuf {
-        self.directory.path().join(self.layout.name(host))
-    }
-
     /// Notes that a fault has begun or ended at a host.
     pub(crate) fn disturb(&self, host: Host, begins: bool) {
         let mut calm = self.calm();
@@ -278,7 +266,7 @@
             match process.ended() {
                 Ok(None) => {}
                 Ok(Some(status)) => {
-                    let log = last_lines(&self.home(*host).join(LOG));
+                    let log = last_lines(&self.layout.home(*host).join(LOG));
                     self.find(format!("FAULT: {host} ended by itself: {status}: {log}"));
                     ended.push(*host);
                 }
--- a/soak/src/fleet/operate.rs
+++ b/soak/src/fleet/operate.rs
@@ -12,7 +12,7 @@
 use crate::client::Answer;
 use crate::document::{HOST, added_queue};
 use crate::fleet::Shared;
-use crate::fleet::layout::{Class, Host};
+use crate::layout::{Class, Host};
 
 /// Shortest and longest pause after a change, in ms.
 const CHANGE_PAUSE: (u64, u64) = (200, 1_500);
@@ -91,7 +91,7 @@
             if !late && waited > self.options.ack {
                 late = true;
                 self.find(format!(
-                    "CONFIG: version {version} not acknowledged, group whole for {:.1} s",
+                    "CONFIG: version {version} not acknowledged, group undisturbed for {:.1} s",
                     waited.as_secs_f64()
                 ));
             }
--- a/soak/src/fleet/plan.rs
+++ b/soak/src/fleet/plan.rs
@@ -6,8 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::fleet::layout::{Class, Host, Sizes};
 use crate::fleet::server::Mode;
+use crate::layout::{Class, Host, Sizes};
 use crate::proxy::Path;
 
 /// Time before the first fault, in ms.
--- a/soak/src/fleet/server.rs
+++ b/soak/src/fleet/server.rs
@@ -23,7 +23,7 @@
 use crate::document::SERVICE;
 use crate::fleet::backend::{CPU, Life, Reply};
 use crate::fleet::judge::Judge;
-use crate::fleet::layout::{Class, Host, Layout};
+use crate::layout::{Class, Host, Layout};
 
 /// Interval between heartbeats, and pause after one that was not acknowledged.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
--- a/soak/src/fleet/shares.rs
+++ b/soak/src/fleet/shares.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64;
 use rustix::process::Pid;
 
-use crate::fleet::layout::{Class, Host};
+use crate::layout::{Class, Host};
 use crate::process::Handle;
 
 /// Period of the quotas, as schedulers have it by default.
--- a/soak/src/fleet/layout.rs
+++ b/soak/src/layout.rs
@@ -1,12 +1,16 @@
-//! Addresses, names and settings files of the hosts of a deployment.
+//! Addresses, names, directories and settings files of the hosts of a run.
 
 use std::fmt;
+use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::PathBuf;
 use std::time::Duration;
 
+use tempfile::TempDir;
+
 use crate::first::FOUNDERS;
-use crate::group::reserve_network;
+use crate::process::{Process, keep_logs};
 use crate::proxy::{Path, Proxy};
 use crate::settings::{SESSION_PORT, Settings};
 
@@ -18,8 +22,8 @@
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// Number of workers in a rack.
 const RACK: u8 = 8;
-/// Size of a disk, in MB.
-const DISK_MB: u64 = 192;
+/// Last part of the address that reserves a run's addresses.
+const GUARD_HOST: u8 = 254;
 
 /// Kind of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -109,13 +113,26 @@
     }
 }
 
+/// What all processes of a run have in common.
+#[derive(Debug)]
+pub(crate) struct Place {
+    /// The program `fulmardrift-platform`.
+    pub(crate) program: PathBuf,
+    /// End of the names of machines and paths.
+    pub(crate) suffix: &'static str,
+    /// Size of a disk, in MB.
+    pub(crate) disk_mb: u64,
+    /// Time after which callers send a job again.
+    pub(crate) resend: Duration,
+}
+
 /// Where the hosts of a run are.
 #[derive(Debug)]
 pub(crate) struct Layout {
     pub(crate) sizes: Sizes,
     network: [u8; 2],
-    /// End of the names of machines and paths.
-    suffix: &'static str,
+    directory: TempDir,
+    place: Place,
     /// Paths between the hosts, if they can be cut.
     pub(crate) proxy: Option<Proxy>,
     // Holds the addresses of the run as long as it lasts.
@@ -123,12 +140,13 @@
 }
 
 impl Layout {
-    pub(crate) fn reserve(sizes: Sizes, proxied: bool, suffix: &'static str) -> io::Result<Self> {
+    pub(crate) fn reserve(sizes: Sizes, proxied: bool, place: Place) -> io::Result<Self> {
         let (network, guard) = reserve_network()?;
         Ok(Self {
             sizes,
             network,
-            suffix,
+            directory: TempDir::with_prefix(format!("soak{}-", place.suffix))?,
+            place,
             proxy: proxied.then(Proxy::new),
             _guard: guard,
         })
@@ -217,24 +235,58 @@
         SocketAddrV4::new(self.bind_ip(host), BACKEND_PORT)
     }
 
-    pub(crate) fn name(&self, host: Host) -> String {
-        format!("{host}{}", self.suffix)
+    fn name(&self, host: Host) -> String {
+        format!("{host}{}", self.place.suffix)
     }
 
-    /// The settings file of a process.
-    pub(crate) fn settings(
+    /// Directory of a process.
+    pub(crate) fn home(&self, host: Host) -> PathBuf {
+        self.directory.path().join(self.name(host))
+    }
+
+    /// Disk of a control instance.
+    pub(crate) fn data(&self, host: Host) -> PathBuf {
+        self.home(host).join("data")
+    }
+
+    /// A file on the disk of the processes.
+    pub(crate) fn probe_file(&self) -> PathBuf {
+        self.directory.path().join("probe")
+    }
+
+    /// Empties the disk of a control instance.
+    pub(crate) fn wipe(&self, host: Host) -> io::Result<()> {
+        match fs::remove_dir_all(self.data(host)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    /// Copies settings and log of a process to `target`.
+    pub(crate) fn keep_logs(&self, host: Host, target: &std::path::Path) -> io::Result<()> {
+        keep_logs(&self.home(host), target, &host.to_string())
+    }
+
+    /// Addresses of the control instances that may found the group.
+    pub(crate) fn founders(&self) -> Vec<SocketAddrV4> {
+        let controls = self.sizes.hosts(Class::Control).take(FOUNDERS);
+        controls.map(|host| self.control(host)).collect()
+    }
+
+    /// Starts a process with what is on its disk.
+    pub(crate) fn start(
         &self,
+        process: &mut Process,
         host: Host,
-        home: &std::path::Path,
         first: bool,
-        resend: Duration,
-    ) -> String {
-        let seeds: Vec<_> = self
-            .sizes
-            .hosts(Class::Control)
-            .take(FOUNDERS)
-            .map(|seed| self.control(seed))
-            .collect();
+        seeds: &[SocketAddrV4],
+    ) -> io::Result<()> {
+        let settings = self.settings(host, first, seeds);
+        process.start(&self.place.program, &self.home(host), &settings)
+    }
+
+    /// The settings file of a process.
+    fn settings(&self, host: Host, first: bool, seeds: &[SocketAddrV4]) -> String {
         let bind_ip = self.bind_ip(host);
         let listen = |port| SocketAddrV4::new(bind_ip, port);
         let callers = [
@@ -242,7 +294,7 @@
             ("readiness", listen(READINESS_PORT)),
         ];
         let control = [("control", listen(CONTROL_PORT))];
-        let data = home.join("data");
+        let data = self.data(host);
         let (serves, data_dir, app, listen): (_, _, _, &[_]) = match host.class {
             Class::Control => ("control_plane", Some(data.as_path()), None, &control),
             Class::Entry => ("frontend", None, None, &callers),
@@ -256,15 +308,28 @@
             ip: self.ip(host),
             bind_ip: self.proxy.is_some().then_some(bind_ip),
             zone: host.zone(),
-            seeds: &seeds,
+            seeds,
             bootstrap: first,
             data_dir,
             app,
             listen,
-            disk_mb: DISK_MB,
+            disk_mb: self.place.disk_mb,
             machines: (self.sizes.controls - 1) / 2,
-            resend,
+            resend: self.place.resend,
         }
         .text()
     }
 }
+
+/// Finds a /24 network on loopback that no other run uses.
+fn reserve_network() -> io::Result<([u8; 2], TcpListener)> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for second in 20..=250 {
+        let guard = Ipv4Addr::new(127, 77, second, GUARD_HOST);
+        match TcpListener::bind((guard, SESSION_PORT)) {
+            Ok(listener) => return Ok(([77, second], listener)),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod first;
 mod fleet;
 mod group;
+mod layout;
 mod ledger;
 mod plan;
 mod process;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -7,7 +7,8 @@
 use rand_pcg::Pcg64;
 
 /// Number of control instances in a group.
-pub(crate) const SLOTS: usize = 3;
+pub(crate) const INSTANCES: u8 = 3;
+pub(crate) const SLOTS: usize = INSTANCES as usize;
 /// Time before the first fault, in ms.
 const FIRST_FAULT: u64 = 2_500;
 /// Longest pause of a frozen process, in ms.
