Carry out first starts as steps of the schedule, and list what they found

A deployment carries out the steps of a first start and of the schedule in one place. No check changes.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -291,7 +291,8 @@
         if let Some((host, _)) = missing {
             self.disturb(host, true);
         }
-        tasks.spawn(Arc::clone(self).play_first(first.steps));
+        let steps = self.first_steps(first.steps);
+        tasks.spawn(Arc::clone(self).carry_out_all(steps));
         let mut rng = Pcg64::seed_from_u64(self.seed);
         let version = self.ledger().next_version(1);
         let founded = self.change(version, &mut rng);
@@ -311,7 +312,8 @@
         }
         if let Some((_, step)) = missing {
             self.note("up but for one");
-            Arc::clone(self).play_first(vec![(0, step)]).await;
+            let steps = self.first_steps(vec![(0, step)]);
+            Arc::clone(self).carry_out_all(steps).await;
             if !self.wait_until_up(Instant::now(), None).await {
                 return false;
             }
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -46,15 +46,7 @@
 impl Shared {
     /// Carries out a schedule.
     pub(crate) async fn play(self: &Arc<Self>, steps: Vec<(u64, Step)>) {
-        let began = Instant::now();
-        for (at, step) in steps {
-            sleep_until(began + Duration::from_millis(at)).await;
-            let what = describe(&step);
-            self.note(&what);
-            if let Err(error) = self.carry_out(step).await {
-                self.find(format!("cannot {what}: {error}"));
-            }
-        }
+        Arc::clone(self).carry_out_all(steps).await;
         if let Some(proxy) = &self.layout.proxy {
             proxy.heal();
         }
@@ -66,30 +58,28 @@
         }
     }
 
-    /// Carries out the steps of a first start.
-    pub(crate) async fn play_first(self: Arc<Self>, steps: Vec<(u64, first::Step)>) {
+    /// The steps of a first start.
+    pub(crate) fn first_steps(&self, steps: Vec<(u64, first::Step)>) -> Vec<(u64, Step)> {
+        let host = |number: usize| self.processes[number].0;
+        let step = |step| match step {
+            first::Step::Start(number, true) => Step::Found(host(number)),
+            first::Step::Start(number, false) => Step::Start(host(number)),
+            first::Step::Kill(number) => Step::Kill(host(number)),
+            first::Step::Wipe(number) => Step::Wipe(host(number)),
+            first::Step::Freeze(number) => Step::Freeze(host(number)),
+            first::Step::Thaw(number) => Step::Thaw(host(number)),
+        };
+        steps.into_iter().map(|(at, s)| (at, step(s))).collect()
+    }
+
+    /// Carries out steps at their times.
+    pub(crate) async fn carry_out_all(self: Arc<Self>, steps: Vec<(u64, Step)>) {
         let began = Instant::now();
         for (at, step) in steps {
             sleep_until(began + Duration::from_millis(at)).await;
-            let host = |number: usize| self.processes[number].0;
-            let (host, step) = match step {
-                first::Step::Start(number, true) => (host(number), None),
-                first::Step::Start(number, false) => {
-                    (host(number), Some(Step::Start(host(number))))
-                }
-                first::Step::Kill(number) => (host(number), Some(Step::Kill(host(number)))),
-                first::Step::Wipe(number) => (host(number), Some(Step::Wipe(host(number)))),
-                first::Step::Freeze(number) => (host(number), Some(Step::Freeze(host(number)))),
-                first::Step::Thaw(number) => (host(number), Some(Step::Thaw(host(number)))),
-            };
-            let what = step.as_ref().map(describe);
-            let what = what.unwrap_or_else(|| format!("first start of {host}"));
+            let what = describe(&step);
             self.note(&what);
-            let done = match step {
-                Some(step) => self.carry_out(step).await,
-                None => self.start(host, true).await,
-            };
-            if let Err(error) = done {
+            if let Err(error) = self.carry_out(step).await {
                 self.find(format!("cannot {what}: {error}"));
             }
         }
@@ -154,6 +144,7 @@
                 self.disturb(host, true);
                 self.process(host)?.lock().await.kill().await
             }
+            Step::Found(host) => self.start(host, true).await,
             Step::Start(host) => {
                 let started = self.start(host, false).await;
                 self.disturb(host, false);
@@ -287,6 +278,7 @@
 fn describe(step: &Step) -> String {
     match step {
         Step::Kill(host) => format!("kill {host}"),
+        Step::Found(host) => format!("start {host} for the first time"),
         Step::Start(host) => format!("start {host}"),
         Step::Restart(host) => format!("stop and start {host}"),
         Step::Freeze(host) => format!("freeze {host}"),
--- a/soak/src/fleet/plan.rs
+++ b/soak/src/fleet/plan.rs
@@ -30,6 +30,8 @@
 pub(crate) enum Step {
     /// SIGKILL.
     Kill(Host),
+    /// A start with `bootstrap = true`.
+    Found(Host),
     Start(Host),
     /// SIGTERM, and a start once it has ended.
     Restart(Host),
