--- a/soak/src/flags.rs
+++ b/soak/src/flags.rs
@@ -4,7 +4,7 @@
 
 use std::path::PathBuf;
 
-use fulmardrift_soak::Mix;
+use fulmardrift_soak::{FirstStart, Mix};
 
 xflags::xflags! {
     /// Plays seeded faults against control groups, or whole deployments, of real processes.
@@ -19,6 +19,9 @@
         optional --groups count: usize
         /// Only the seeds that once failed.
         optional --regressions
+        /// How the processes start for the first time: together, away, late, ended, frozen, killed,
+        /// killed-all, spread or names; default: drawn by the seed.
+        optional --first-start kind: FirstStart
         /// The program `fulmardrift-platform`; default: beside this program.
         optional --program path: PathBuf
         /// Directory for the logs of failed seeds; default: soak-logs in the temporary directory.
@@ -32,6 +35,8 @@
         optional --catch-up-s seconds: u64
         /// Bound on the files of an instance, in MB; default: unchecked.
         optional --file-bound-mb bytes: u64
+        /// Time after which callers send a job again, in ms, also in the settings; default 1300.
+        optional --resend-ms millis: u64
         /// Plays whole deployments; the flags below belong to them.
         optional --deployment
         /// Number of control instances; default 5.
--- a/soak/src/fleet/faults.rs
+++ b/soak/src/fleet/faults.rs
@@ -3,7 +3,6 @@
 use std::fs::{self, File};
 use std::io;
 use std::os::unix::fs::MetadataExt;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,11 +11,13 @@
 use rand_pcg::Pcg64;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::first;
 use crate::fleet::Shared;
-use crate::fleet::layout::{Class, GRACE_S, Host};
 use crate::fleet::plan::Step;
-use crate::process::LOG;
+use crate::layout::{Class, Host};
+use crate::process::{LOG, Process};
 use crate::proxy::Path;
+use crate::settings::GRACE_S;
 
 /// Pause between two looks at the processes.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
@@ -45,15 +46,7 @@
 impl Shared {
     /// Carries out a schedule.
     pub(crate) async fn play(self: &Arc<Self>, steps: Vec<(u64, Step)>) {
-        let began = Instant::now();
-        for (at, step) in steps {
-            sleep_until(began + Duration::from_millis(at)).await;
-            let what = describe(&step);
-            self.note(&what);
-            if let Err(error) = self.carry_out(step).await {
-                self.find(format!("cannot {what}: {error}"));
-            }
-        }
+        Arc::clone(self).carry_out_all(steps).await;
         if let Some(proxy) = &self.layout.proxy {
             proxy.heal();
         }
@@ -65,6 +58,33 @@
         }
     }
 
+    /// The steps of a first start.
+    pub(crate) fn first_steps(&self, steps: Vec<(u64, first::Step)>) -> Vec<(u64, Step)> {
+        let host = |number: usize| self.processes[number].0;
+        let step = |step| match step {
+            first::Step::Start(number, true) => Step::Found(host(number)),
+            first::Step::Start(number, false) => Step::Start(host(number)),
+            first::Step::Kill(number) => Step::Kill(host(number)),
+            first::Step::Wipe(number) => Step::Wipe(host(number)),
+            first::Step::Freeze(number) => Step::Freeze(host(number)),
+            first::Step::Thaw(number) => Step::Thaw(host(number)),
+        };
+        steps.into_iter().map(|(at, s)| (at, step(s))).collect()
+    }
+
+    /// Carries out steps at their times.
+    pub(crate) async fn carry_out_all(self: Arc<Self>, steps: Vec<(u64, Step)>) {
+        let began = Instant::now();
+        for (at, step) in steps {
+            sleep_until(began + Duration::from_millis(at)).await;
+            let what = describe(&step);
+            self.note(&what);
+            if let Err(error) = self.carry_out(step).await {
+                self.find(format!("cannot {what}: {error}"));
+            }
+        }
+    }
+
     /// All processes are killed the moment a change is acknowledged, and as many control instances as
     /// is tolerated lose their disks. Of the other logs, what was written after that is cut off in
     /// part, as it may not have been synced.
@@ -76,7 +96,7 @@
         self.change(version, &mut rng).await;
         let acknowledged = self.ledger().acknowledgements();
         let controls: Vec<Host> = self.layout.sizes.hosts(Class::Control).collect();
-        let log = |host: Host| self.home(host).join("data").join(CONTROL_LOG);
+        let log = |host: Host| self.layout.data(host).join(CONTROL_LOG);
         let logs: Vec<_> = controls
             .iter()
             .map(|host| fs::metadata(log(*host)))
@@ -101,7 +121,7 @@
         for (host, before) in controls.iter().zip(logs) {
             if lost.contains(&host) {
                 self.note(&describe(&Step::Wipe(*host)));
-                fs::remove_dir_all(self.home(*host).join("data"))?;
+                self.layout.wipe(*host)?;
             } else if may_cut {
                 let (before, now) = (before?, fs::metadata(log(*host))?);
                 if before.ino() == now.ino() && before.len() < now.len() {
@@ -124,6 +144,7 @@
                 self.disturb(host, true);
                 self.process(host)?.lock().await.kill().await
             }
+            Step::Found(host) => self.start(host, true).await,
             Step::Start(host) => {
                 let started = self.start(host, false).await;
                 self.disturb(host, false);
@@ -143,10 +164,7 @@
                 self.disturb(host, false);
                 thawed
             }
-            Step::Wipe(host) => match fs::remove_dir_all(self.home(host).join("data")) {
-                Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
-                _ => Ok(()),
-            },
+            Step::Wipe(host) => self.layout.wipe(host),
             Step::Backend(number, mode) => {
                 self.servers[usize::from(number)].set(mode);
                 Ok(())
@@ -165,11 +183,8 @@
         let stopped = async {
             let mut process = self.process(host)?.lock().await;
             process.stop(Duration::from_secs(GRACE_S)).await?;
-            process.start(
-                &self.options.program,
-                &self.home(host),
-                &self.layout.settings(host, &self.home(host), false),
-            )
+            self.layout
+                .start(&mut process, host, false, &self.layout.founders())
         };
         if let Err(error) = stopped.await {
             self.find(format!("FAULT: restart of {host}: {error}"));
@@ -178,24 +193,19 @@
     }
 
     pub(crate) async fn start(&self, host: Host, first: bool) -> io::Result<()> {
-        let home = self.home(host);
-        let settings = self.layout.settings(host, &home, first);
         let mut process = self.process(host)?.lock().await;
-        process.start(&self.options.program, &home, &settings)
+        let seeds = self.layout.founders();
+        self.layout.start(&mut process, host, first, &seeds)
     }
 
-    fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<crate::process::Process>> {
+    fn process(&self, host: Host) -> io::Result<&tokio::sync::Mutex<Process>> {
         let found = self.processes.binary_search_by_key(&host, |(h, _)| *h);
         let at = found.map_err(|_| io::Error::from(io::ErrorKind::NotFound))?;
         Ok(&self.processes[at].1)
     }
 
-    pub(crate) fn home(&self, host: Host) -> PathBuf {
-        self.directory.path().join(host.to_string())
-    }
-
     /// Notes that a fault has begun or ended at a host.
-    fn disturb(&self, host: Host, begins: bool) {
+    pub(crate) fn disturb(&self, host: Host, begins: bool) {
         let mut calm = self.calm();
         if let Ok(at) = calm.binary_search_by_key(&host, |calm| calm.host) {
             let calm = &mut calm[at];
@@ -247,7 +257,7 @@
             match process.ended() {
                 Ok(None) => {}
                 Ok(Some(status)) => {
-                    let log = last_lines(&self.home(*host).join(LOG));
+                    let log = last_lines(&self.layout.home(*host).join(LOG));
                     self.find(format!("FAULT: {host} ended by itself: {status}: {log}"));
                     ended.push(*host);
                 }
@@ -268,6 +278,7 @@
 fn describe(step: &Step) -> String {
     match step {
         Step::Kill(host) => format!("kill {host}"),
+        Step::Found(host) => format!("start {host} for the first time"),
         Step::Start(host) => format!("start {host}"),
         Step::Restart(host) => format!("stop and start {host}"),
         Step::Freeze(host) => format!("freeze {host}"),
--- a/soak/src/fleet/plan.rs
+++ b/soak/src/fleet/plan.rs
@@ -6,8 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::fleet::layout::{Class, Host, Sizes};
 use crate::fleet::server::Mode;
+use crate::layout::{Class, Host, Sizes};
 use crate::proxy::Path;
 
 /// Time before the first fault, in ms.
@@ -30,6 +30,8 @@
 pub(crate) enum Step {
     /// SIGKILL.
     Kill(Host),
+    /// A start with `bootstrap = true`.
+    Found(Host),
     Start(Host),
     /// SIGTERM, and a start once it has ended.
     Restart(Host),
--- a/soak/src/fleet/shares.rs
+++ b/soak/src/fleet/shares.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64;
 use rustix::process::Pid;
 
-use crate::fleet::layout::{Class, Host};
+use crate::layout::{Class, Host};
 use crate::process::Handle;
 
 /// Period of the quotas, as schedulers have it by default.
@@ -20,7 +20,9 @@
 /// Shortest time between two looks at a process. What it uses beyond its quota until then counts
 /// towards the next period.
 const LOOK: Duration = Duration::from_millis(2);
-/// Shares, in thousandths of a core. Each entry draws its own.
+/// Shares of the entries of the users' sites, in thousandths of a core. Each entry draws its own.
+pub const ENTRY_SHARES: (u32, u32) = (90, 300);
+/// Shares of the others, in thousandths of a core.
 const CONTROL: u32 = 400;
 const AGENT: u32 = 150;
 
--- a/soak/src/fleet/layout.rs
+++ b/soak/src/layout.rs
@@ -1,26 +1,29 @@
-//! Addresses, names and settings files of the hosts of a deployment.
+//! Addresses, names, directories and settings files of the hosts of a run.
 
 use std::fmt;
+use std::fs;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
 
-use crate::group::reserve_network;
+use tempfile::TempDir;
+
+use crate::first::FOUNDERS;
+use crate::process::{Process, keep_logs};
 use crate::proxy::{Path, Proxy};
+use crate::settings::{SESSION_PORT, Settings};
 
 /// Port at which an agent serves its backend server, and a control instance its operators.
 const CONTROL_PORT: u16 = 8166;
 const CALLER_PORT: u16 = 8161;
 const READINESS_PORT: u16 = 8167;
 const BACKEND_PORT: u16 = 8080;
-/// First port of the sessions between processes.
-const SESSION_PORT: u16 = 7720;
-/// Number of control instances that the settings name.
-const SEEDS: u8 = 3;
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// Number of workers in a rack.
 const RACK: u8 = 8;
-/// A process is killed this long after SIGTERM, in seconds.
-pub(crate) const GRACE_S: u64 = 6;
+/// Last part of the address that reserves a run's addresses.
+const GUARD_HOST: u8 = 254;
 
 /// Kind of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -110,11 +113,26 @@
     }
 }
 
+/// What all processes of a run have in common.
+#[derive(Debug)]
+pub(crate) struct Place {
+    /// The program `fulmardrift-platform`.
+    pub(crate) program: PathBuf,
+    /// End of the names of machines and paths.
+    pub(crate) suffix: &'static str,
+    /// Size of a disk, in MB.
+    pub(crate) disk_mb: u64,
+    /// Time after which callers send a job again.
+    pub(crate) resend: Duration,
+}
+
 /// Where the hosts of a run are.
 #[derive(Debug)]
 pub(crate) struct Layout {
     pub(crate) sizes: Sizes,
     network: [u8; 2],
+    directory: TempDir,
+    place: Place,
     /// Paths between the hosts, if they can be cut.
     pub(crate) proxy: Option<Proxy>,
     // Holds the addresses of the run as long as it lasts.
@@ -122,11 +140,13 @@
 }
 
 impl Layout {
-    pub(crate) fn reserve(sizes: Sizes, proxied: bool) -> io::Result<Self> {
+    pub(crate) fn reserve(sizes: Sizes, proxied: bool, place: Place) -> io::Result<Self> {
         let (network, guard) = reserve_network()?;
         Ok(Self {
             sizes,
             network,
+            directory: TempDir::with_prefix(format!("soak{}-", place.suffix))?,
+            place,
             proxy: proxied.then(Proxy::new),
             _guard: guard,
         })
@@ -215,65 +235,101 @@
         SocketAddrV4::new(self.bind_ip(host), BACKEND_PORT)
     }
 
+    fn name(&self, host: Host) -> String {
+        format!("{host}{}", self.place.suffix)
+    }
+
+    /// Directory of a process.
+    pub(crate) fn home(&self, host: Host) -> PathBuf {
+        self.directory.path().join(self.name(host))
+    }
+
+    /// Disk of a control instance.
+    pub(crate) fn data(&self, host: Host) -> PathBuf {
+        self.home(host).join("data")
+    }
+
+    /// A file on the disk of the processes.
+    pub(crate) fn probe_file(&self) -> PathBuf {
+        self.directory.path().join("probe")
+    }
+
+    /// Empties the disk of a control instance.
+    pub(crate) fn wipe(&self, host: Host) -> io::Result<()> {
+        match fs::remove_dir_all(self.data(host)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    /// Copies settings and log of a process to `target`.
+    pub(crate) fn keep_logs(&self, host: Host, target: &std::path::Path) -> io::Result<()> {
+        keep_logs(&self.home(host), target, &host.to_string())
+    }
+
+    /// Addresses of the control instances that may found the group.
+    pub(crate) fn founders(&self) -> Vec<SocketAddrV4> {
+        let controls = self.sizes.hosts(Class::Control).take(FOUNDERS);
+        controls.map(|host| self.control(host)).collect()
+    }
+
+    /// Starts a process with what is on its disk.
+    pub(crate) fn start(
+        &self,
+        process: &mut Process,
+        host: Host,
+        first: bool,
+        seeds: &[SocketAddrV4],
+    ) -> io::Result<()> {
+        let settings = self.settings(host, first, seeds);
+        process.start(&self.place.program, &self.home(host), &settings)
+    }
+
     /// The settings file of a process.
-    pub(crate) fn settings(&self, host: Host, home: &std::path::Path, first: bool) -> String {
-        let seeds: Vec<String> = self
-            .sizes
-            .hosts(Class::Control)
-            .take(usize::from(SEEDS))
-            .map(|seed| self.control(seed).to_string())
-            .collect();
+    fn settings(&self, host: Host, first: bool, seeds: &[SocketAddrV4]) -> String {
         let bind_ip = self.bind_ip(host);
-        let listen = |port| format!("\"{}\"", SocketAddrV4::new(bind_ip, port));
-        let (serves, own, listen) = match host.class {
-            Class::Control => (
-                "control_plane",
-                format!("data_dir = \"{}\"\n", home.join("data").display()),
-                format!("control = {}\n", listen(CONTROL_PORT)),
-            ),
-            Class::Entry => (
-                "frontend",
-                String::new(),
-                format!(
-                    "frontend = {}\nreadiness = {}\n",
-                    listen(CALLER_PORT),
-                    listen(READINESS_PORT)
-                ),
-            ),
-            Class::Agent | Class::Backend | Class::Caller => (
-                "side",
-                format!("app = \"{}\"\n", self.backend(host.number)),
-                format!("control = {}\n", listen(CONTROL_PORT)),
-            ),
-        };
-        let bind = match self.proxy {
-            Some(_) => format!("bind_ip = \"{bind_ip}\"\n"),
-            None => String::new(),
+        let listen = |port| SocketAddrV4::new(bind_ip, port);
+        let callers = [
+            ("frontend", listen(CALLER_PORT)),
+            ("readiness", listen(READINESS_PORT)),
+        ];
+        let control = [("control", listen(CONTROL_PORT))];
+        let data = self.data(host);
+        let (serves, data_dir, app, listen): (_, _, _, &[_]) = match host.class {
+            Class::Control => ("control_plane", Some(data.as_path()), None, &control),
+            Class::Entry => ("frontend", None, None, &callers),
+            Class::Agent | Class::Backend | Class::Caller => {
+                ("side", None, Some(self.backend(host.number)), &control)
+            }
         };
-        let machines = (self.sizes.controls - 1) / 2;
-        format!(
-            "node_name = \"{host}\"\n\
-             serves = [\"{serves}\"]\n\
-             ip = \"{ip}\"\n\
-             {bind}\
-             zone = \"{zone}\"\n\
-             internal_ports = [{SESSION_PORT}, {last}]\n\
-             seeds = {seeds:?}\n\
-             bootstrap = {first}\n\
-             {own}\
-             [listen_addresses]\n\
-             {listen}\
-             [limits]\n\
-             disk_mb = 192\n\
-             [fault_tolerance]\n\
-             machines = {machines}\n\
-             [bounds]\n\
-             hold_max_ms = 1000\n\
-             status_s = 120\n\
-             grace_s = {GRACE_S}\n",
-            ip = self.ip(host),
-            zone = host.zone(),
-            last = SESSION_PORT + 15,
-        )
+        Settings {
+            name: &self.name(host),
+            serves,
+            ip: self.ip(host),
+            bind_ip: self.proxy.is_some().then_some(bind_ip),
+            zone: host.zone(),
+            seeds,
+            bootstrap: first,
+            data_dir,
+            app,
+            listen,
+            disk_mb: self.place.disk_mb,
+            machines: (self.sizes.controls - 1) / 2,
+            resend: self.place.resend,
+        }
+        .text()
+    }
+}
+
+/// Finds a /24 network on loopback that no other run uses.
+fn reserve_network() -> io::Result<([u8; 2], TcpListener)> {
+    let mut last = io::Error::from(io::ErrorKind::AddrInUse);
+    for second in 20..=250 {
+        let guard = Ipv4Addr::new(127, 77, second, GUARD_HOST);
+        match TcpListener::bind((guard, SESSION_PORT)) {
+            Ok(listener) => return Ok(([77, second], listener)),
+            Err(error) => last = error,
+        }
     }
+    Err(last)
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,8 +4,10 @@
 
 mod client;
 mod document;
+mod first;
 mod fleet;
 mod group;
+mod layout;
 mod ledger;
 mod plan;
 mod process;
@@ -13,12 +15,14 @@
 mod regressions;
 mod relay;
 mod run;
+mod settings;
 mod stalls;
 
 use std::path::PathBuf;
 use std::time::Duration;
 
-pub use fleet::{FleetOptions, Mix, Sizes, run_fleet};
+pub use first::FirstStart;
+pub use fleet::{ENTRY_SHARES, FleetOptions, Mix, Sizes, run_fleet};
 pub use ledger::Report;
 pub use proxy::{Path, Proxy};
 pub use regressions::{REGRESSIONS, Regression};
@@ -29,6 +33,8 @@
 pub struct Options {
     /// The program `fulmardrift-platform`.
     pub program: PathBuf,
+    /// How the instances start for the first time.
+    pub first_start: FirstStart,
     /// Time in which faults begin.
     pub length: Duration,
     /// Smallest and largest number of routes in a configuration.
@@ -39,6 +45,8 @@
     pub catch_up: Duration,
     /// Size of each disk, in MB, in the settings files.
     pub disk_mb: u64,
+    /// Time after which callers send a job again, in the settings files.
+    pub resend: Duration,
     /// Bound on the files of an instance, in bytes; 0: unchecked.
     pub file_bound: u64,
     /// Directory for the logs of runs with findings.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use fulmardrift_soak::{
-    FleetOptions, Options, REGRESSIONS, Report, Sizes, SoakError, run, run_fleet,
+    ENTRY_SHARES, FirstStart, FleetOptions, Options, REGRESSIONS, Report, Sizes, SoakError, run,
+    run_fleet,
 };
 use tokio::task::JoinSet;
 
@@ -14,6 +15,8 @@
 
 /// Size of a disk in the settings files, in MB.
 const DISK_MB: u64 = 128;
+/// Time after which callers send a job again.
+const RESEND_MS: u64 = 1_300;
 /// The settings files give sizes in units of this many bytes.
 const BYTES_PER_MB: u64 = 1_000_000;
 /// A configuration has at least one seventh of the routes of the largest.
@@ -22,8 +25,6 @@
 const ACK: Duration = Duration::from_secs(5);
 const APPLY: Duration = Duration::from_millis(2_500);
 const CONTACT: Duration = Duration::from_secs(4);
-/// Shares of the entries of the users' sites, in thousandths of a core.
-const ENTRY_SHARES: (u32, u32) = (90, 300);
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -38,10 +39,14 @@
     let groups = flags.groups.unwrap_or(1);
     let first = flags.first.unwrap_or(1);
     let seeds = first..first + flags.seeds.unwrap_or(50);
+    let first_start = |seed| flags.first_start.unwrap_or_else(|| FirstStart::draw(seed));
     if flags.deployment {
         let options = fleet_options(&flags, &options);
         let run = |seed| {
-            let options = options.clone();
+            let options = FleetOptions {
+                first_start: first_start(seed),
+                ..options.clone()
+            };
             async move { print(run_fleet(options, seed).await) }
         };
         return run_all(seeds.map(run).collect(), groups).await;
@@ -55,6 +60,7 @@
     };
     let run = |(seed, length)| {
         let options = Options {
+            first_start: first_start(seed),
             length,
             ..options.clone()
         };
@@ -72,11 +78,13 @@
     let logs = flags.logs.clone();
     Ok(Options {
         program,
+        first_start: FirstStart::Together,
         length: Duration::from_secs(flags.seconds.unwrap_or(30)),
         routes: (routes / SIZE_RANGE, routes),
         recovery: Duration::from_secs(flags.recovery_s.unwrap_or(12)),
         catch_up: Duration::from_secs(flags.catch_up_s.unwrap_or(4)),
         disk_mb: DISK_MB,
+        resend: Duration::from_millis(flags.resend_ms.unwrap_or(RESEND_MS)),
         file_bound: flags.file_bound_mb.unwrap_or(0) * BYTES_PER_MB,
         logs: Some(logs.unwrap_or_else(|| std::env::temp_dir().join("soak-logs"))),
     })
@@ -91,16 +99,17 @@
             entries: flags.entries.unwrap_or(10),
             agents: flags.agents.unwrap_or(58),
         },
+        first_start: group.first_start,
         length: group.length,
         faults: !flags.no_faults,
         cuts: !flags.no_cuts,
         per_second: flags.per_second.unwrap_or(90),
         then: flags.then.or(flags.per_second).unwrap_or(90),
         mix: flags.mix.unwrap_or_default(),
+        resend: group.resend,
         shares: flags.shares.then(|| {
-            flags
-                .entry_share
-                .map_or(ENTRY_SHARES, |share| (share, share))
+            let own = flags.entry_share.map(|share| (share, share));
+            own.unwrap_or(ENTRY_SHARES)
         }),
         routes: (routes / SIZE_RANGE, routes),
         ack: ACK,
