Let a start without an answer not prove that its task crashes backend servers

What callers saw: a good job was answered as failed after one crash under it and a start that may never have begun.

Cause: a start without an answer was blamed for a crash if nothing else was there, and, as it was alone, at its second crash for good. The start may have met a process that had ended already.

Change: such a start counts, but not as alone.

Evidence: a_start_without_an_answer_fails_no_job_though_nothing_else_ran failed before. Stored tasks whose starts are never answered are still given up after three crashes (deadly_stored_tasks, model_crashes).

--- a/src/dispatch/suspects.rs
+++ b/src/dispatch/suspects.rs
@@ -84,7 +84,8 @@
         self.forget_old(now);
         let mut jobs = begun.iter().chain(unanswered).map(|(task, _)| task.job);
         let first = jobs.next();
-        let alone = jobs.all(|job| Some(job) == first);
+        // A start without an answer may not have begun.
+        let alone = begun != unanswered && jobs.all(|job| Some(job) == first);
         let mut crashed = Vec::with_capacity(begun.len());
         for (task, run) in begun {
             let known = self.tasks.get(task).map_or(&[][..], |s| &s.runs);
--- a/tests/patterns/deadly_tasks.rs
+++ b/tests/patterns/deadly_tasks.rs
@@ -293,3 +293,28 @@
     let runs = fleet.spans().into_iter().filter(|s| s.task == task(1, 0));
     assert_eq!(runs.count(), 3);
 }
+
+/// Guards against a good job that fails after two crashes, though it may not have begun before the
+/// second one: its start got no answer.
+#[test]
+fn a_start_without_an_answer_fails_no_job_though_nothing_else_ran() {
+    const LONG_MS: u64 = 1_000;
+    const ESTIMATE_MS: u64 = 10_000;
+    let mut fleet = Fleet::new(1, 2, LONG_MS);
+    fleet.run(SETTLED_MS);
+    fleet.agents[0].server.deadly = vec![task(1, 0)];
+    fleet.call(0, 1, submit(JobId(1), job(1, ESTIMATE_MS, true)), 20_000);
+    fleet.run(100);
+    assert_eq!(crashes(&fleet), 1);
+    fleet.agents[0].server.deadly.clear();
+    fleet.agents[1].mute = true;
+    while fleet.spans().len() < 2 {
+        fleet.run(1);
+    }
+    let now = fleet.now;
+    fleet.agents[1].server.lose_power(now);
+    fleet.run(LEASE_MS + 100);
+    fleet.agents[1].mute = false;
+    fleet.run(DOWN_MS + 3 * LONG_MS);
+    assert_eq!(fleet.answer(0, 1), Some(&COMPLETED));
+}
