Review: ends beyond the first 500 in a list let tasks run twice

Found: an agent takes a run as gone that a hold's answer lists neither as running nor among the first 500 ends, so a new leader starts its task again.

--- /dev/null
+++ b/review/stand-ins-2/cases.rs
@@ -0,0 +1,326 @@
+//! The cases, each with the check of its rule.
+
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+use crate::executor::{Executor, Kind, Trigger};
+use crate::fleet::{Class, Fleet, Sizes};
+use crate::http;
+use crate::record::{Event, Seen};
+
+/// Jobs that come at once, each of 200 tasks.
+const LARGE_JOBS: u8 = 9;
+/// `finish_s`, in milliseconds.
+const FINISH_MS: u64 = 14_000;
+/// How long a job may stand still while there is capacity for it.
+const STILL_MS: u64 = 3_000;
+
+/// Executors of a service, as many as the site has.
+const EXECUTORS: u8 = 11;
+/// Tasks of 6.2 cores that fit on an executor.
+const TASKS_EACH: u64 = 10;
+
+fn executors(count: u8) -> Vec<Kind> {
+    let zones = ["loom-a", "loom-b", "loom-c"];
+    (0..count)
+        .map(|number| Kind {
+            id: format!("i-{number:08x}"),
+            service: "monogram-desk".to_owned(),
+            zone: zones[usize::from(number) % zones.len()].to_owned(),
+            cpu: 64_000,
+            mem_mb: 262_144,
+            guards: true,
+            heartbeat: Duration::from_millis(1_500),
+        })
+        .collect()
+}
+
+/// A configuration of one queue, with the prefix `/q/`.
+fn config(version: u64, service: &str) -> String {
+    let services: Vec<String> = ["monogram-desk", "stitch-desk"]
+        .iter()
+        .map(|name| {
+            format!(
+                "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_connections\":64,\
+                 \"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\
+                 \"enforces_capacity\":true,\"standby\":false}}"
+            )
+        })
+        .collect();
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"nony24.example\",\
+         \"path_prefix\":\"/q/\",\"kind\":\"non_idempotent\",\"timeout_ms\":1500,\
+         \"target_latency_ms\":60,\"priority\":0,\"service\":\"{service}\",\"max_attempts\":3,\
+         \"slack_factor\":1.6}}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
+         \"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}}",
+        services.join(",")
+    )
+}
+
+/// A job of one step that is stored.
+fn job(count: u64, cpu: u64, ms: u64) -> String {
+    format!(
+        "{{\"spec\":\"cpu={cpu} ms={ms}\",\"phases\":[{{\"count\":{count},\"cpu\":{cpu},\
+         \"mem_mb\":64,\"estimate_ms\":{ms}}}]}}"
+    )
+}
+
+/// A start after a run of the same task has ended `done`, where that end was taken note of, and the
+/// lease of its executor had not lapsed in between.
+fn started_after_done(events: &[Event]) -> Option<(Event, Event)> {
+    let mut first = None;
+    let mut count = 0;
+    for (at, end) in events.iter().enumerate() {
+        let Seen::End("done", number) = end.seen else {
+            continue;
+        };
+        let mut later = events[at + 1..]
+            .iter()
+            .filter(|e| e.executor == end.executor);
+        let noted = later.find_map(|event| match event.seen {
+            Seen::Noted(upto) if upto >= number => Some(true),
+            Seen::Lapsed | Seen::Crash => Some(false),
+            _ => None,
+        });
+        if noted != Some(true) {
+            continue;
+        }
+        let mut after = events[at + 1..].iter();
+        if let Some(start) = after.find(|e| e.seen == Seen::Start && e.task == end.task) {
+            count += 1;
+            first.get_or_insert((end.clone(), start.clone()));
+        }
+    }
+    if count > 0 {
+        println!("{count} tasks were started after they had ended done");
+    }
+    first
+}
+
+/// Large jobs come at once, and the core that leads is killed while their tasks run.
+pub fn twice(folder: PathBuf, trouble: bool) -> ! {
+    let sizes = Sizes {
+        frontends: 3,
+        executors: executors(2),
+    };
+    let fleet = Fleet::start(folder, sizes, &config(1, "monogram-desk"));
+    let leader = fleet.leader();
+    let paths: Vec<String> = (0..LARGE_JOBS)
+        .map(|number| format!("/q/00000000000000a{number:x}"))
+        .collect();
+    for path in &paths {
+        fleet.submit(path, &job(200, 70, 1_500));
+        thread::sleep(Duration::from_millis(25));
+    }
+    let began_at = |events: &[Event]| events.iter().find(|e| e.seen == Seen::Start).map(|e| e.at);
+    let first = began_at(&fleet.record.events()).unwrap_or_default();
+    let counts: Vec<usize> = fleet.executors.iter().map(|e| e.running().len()).collect();
+    fleet
+        .record
+        .note(format!("tasks at work on each executor: {counts:?}"));
+    while fleet.record.now() < first + 1_450 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    if trouble {
+        fleet.kill((Class::Core, leader));
+        thread::sleep(Duration::from_secs(1));
+        fleet.spawn((Class::Core, leader), false);
+    }
+    for path in &paths {
+        fleet.await_state(path, &["completed"], 20_000);
+    }
+    thread::sleep(Duration::from_secs(1));
+    match started_after_done(&fleet.record.events()) {
+        Some((end, start)) => fleet.finish(
+            true,
+            &format!(
+                "task {} ended done as run {} at {} ms on {}, which was taken note of, and was \
+                 started again as run {} at {} ms on {}",
+                end.task, end.run, end.at, end.executor, start.run, start.at, start.executor
+            ),
+        ),
+        None => fleet.finish(false, "no task was started after it had ended done"),
+    }
+}
+
+/// An executor is lost for good while it receives a start.
+pub fn stuck(folder: PathBuf, trouble: bool) -> ! {
+    let sizes = Sizes {
+        frontends: 3,
+        executors: executors(EXECUTORS),
+    };
+    let fleet = Fleet::start(folder, sizes, &config(1, "monogram-desk"));
+    let path = "/q/00000000000000b1";
+    if trouble {
+        let trigger = Trigger::default();
+        for executor in &fleet.executors {
+            executor.crash_on("00000000000000b1", &trigger);
+        }
+    }
+    fleet.submit(path, &job(6, 6_200, 400));
+    fleet.await_state(path, &["completed", "failed"], FINISH_MS);
+    // From here on the job must not stand still.
+    let since = fleet.record.now();
+    let mut moved_at = since;
+    let mut state = fleet.state(path);
+    while fleet.record.now() < since + 2 * STILL_MS {
+        let runs = fleet
+            .executors
+            .iter()
+            .map(|e| e.running().len())
+            .sum::<usize>();
+        state = fleet.state(path);
+        if runs > 0 || state == "completed" {
+            moved_at = fleet.record.now();
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    let still = fleet.record.now() - moved_at;
+    let free: Vec<u64> = fleet
+        .executors
+        .iter()
+        .filter(|e| !e.is_down())
+        .map(|e| 64_000 - e.used())
+        .collect();
+    fleet.record.note(format!(
+        "the job is {state:?}; nothing of it has run for {still} ms; free cpu on the executors \
+         that are up: {free:?}"
+    ));
+    fleet.finish(
+        state != "completed" && still >= STILL_MS,
+        &format!("{path} is {state:?} {FINISH_MS} ms after it was handed in"),
+    )
+}
+
+/// Executors crash and come back, each while it runs the only job.
+pub fn crashes(folder: PathBuf, trouble: bool) -> ! {
+    let sizes = Sizes {
+        frontends: 3,
+        executors: executors(EXECUTORS),
+    };
+    let mut fleet = Fleet::start(folder, sizes, &config(1, "monogram-desk"));
+    let path = "/q/00000000000000c1";
+    fleet.submit(path, &job(1, 6_200, 3_000));
+    let mut last = None;
+    for _ in 0..2 {
+        if !trouble {
+            break;
+        }
+        let mut at = None;
+        for _ in 0..500 {
+            let runs = |e: &Executor| !e.is_down() && !e.running().is_empty();
+            at = fleet.executors.iter().position(runs);
+            if at.is_some() && at != last {
+                break;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        let Some(number) = at else {
+            break;
+        };
+        last = Some(number);
+        thread::sleep(Duration::from_millis(1_000));
+        fleet.record.note(format!("executor {number} crashes"));
+        fleet.executors[number].crash();
+        thread::sleep(Duration::from_millis(2_000));
+        let next = fleet.start_executor(u8::try_from(number).unwrap_or_default());
+        fleet.executors[number] = next;
+    }
+    let state = fleet.await_state(path, &["completed", "failed"], 25_000);
+    let events = fleet.record.events();
+    let failed = events
+        .iter()
+        .filter(|e| matches!(e.seen, Seen::End("failed", _)))
+        .count();
+    fleet.finish(
+        state == "failed" && failed < 3,
+        &format!("{path} is {state:?}; {failed} runs ended failed, max_attempts is 3"),
+    )
+}
+
+/// The queue is sent to another service while jobs of it wait.
+pub fn pending(folder: PathBuf, trouble: bool) -> ! {
+    let sizes = Sizes {
+        frontends: 3,
+        executors: executors(EXECUTORS),
+    };
+    let fleet = Fleet::start(folder, sizes, &config(1, "monogram-desk"));
+    // Takes all executors.
+    let tasks = u64::from(EXECUTORS) * TASKS_EACH;
+    fleet.submit("/q/00000000000000d0", &job(tasks, 6_200, 40_000));
+    thread::sleep(Duration::from_secs(2));
+    for number in 1..=10 {
+        fleet.submit(
+            &format!("/q/00000000000000e{number:x}"),
+            &job(1, 6_200, 100),
+        );
+    }
+    thread::sleep(Duration::from_secs(1));
+    if trouble {
+        fleet.configure(&config(2, "stitch-desk"));
+    }
+    // More than `visible_ms` + 2 s after the last was accepted, and `contact_ms` of calm.
+    thread::sleep(Duration::from_secs(8));
+    let events = fleet.record.events();
+    let begun = |e: &&Event| e.seen == Seen::Start && e.task.starts_with("00000000000000e");
+    let begun = events.iter().filter(begun).count();
+    let mut least = u64::MAX;
+    for frontend in 0..3 {
+        let reply = fleet.client(frontend, ("GET", "/q/"), "");
+        let text = reply.map_or(String::new(), |reply| reply.body);
+        fleet
+            .record
+            .note(format!("client GET /q/ at frontend-{frontend}: {text}"));
+        least = least.min(http::number(&text, "pending").unwrap_or(u64::MAX));
+    }
+    fleet.finish(
+        least < 5 && begun == 0,
+        &format!(
+            "10 jobs have waited for over 8 s, {begun} of them have begun, pending is {least}"
+        ),
+    )
+}
+
+/// The agent of an executor that does not guard its capacity is killed, and is soon back.
+pub fn limit(folder: PathBuf, trouble: bool) -> ! {
+    let mut kinds = executors(EXECUTORS);
+    for kind in &mut kinds {
+        kind.guards = false;
+    }
+    let sizes = Sizes {
+        frontends: 3,
+        executors: kinds,
+    };
+    let config = config(1, "monogram-desk")
+        .replace("\"enforces_capacity\":true", "\"enforces_capacity\":false");
+    let fleet = Fleet::start(folder, sizes, &config);
+    // Takes all executors.
+    let tasks = u64::from(EXECUTORS) * TASKS_EACH;
+    fleet.submit("/q/00000000000000f1", &job(tasks, 6_200, 10_000));
+    thread::sleep(Duration::from_secs(2));
+    let executor = &fleet.executors[0];
+    if trouble {
+        while executor.since_beat() < Duration::from_millis(1_330) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        fleet.kill((Class::Side, 0));
+        thread::sleep(Duration::from_millis(100));
+        fleet.spawn((Class::Side, 0), false);
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    for number in 0..3 {
+        let path = format!("/q/00000000000000f{}", number + 2);
+        let body = job(4, 6_200, 300).replace("{\"spec\"", "{\"best_effort\":true,\"spec\"");
+        let reply = fleet.client(0, ("POST", &path), &body);
+        let status = reply.map_or(0, |reply| reply.status);
+        fleet.record.note(format!("client POST {path}: {status}"));
+    }
+    fleet.await_state("/q/00000000000000f1", &["completed"], 30_000);
+    let most = fleet.executors.iter().map(Executor::most_used).max();
+    let most = most.unwrap_or_default();
+    fleet.finish(
+        most > 64_000,
+        &format!("{most} thousandths of a core in use at most, of 64000"),
+    )
+}
