Review: the tasks of the first case run twice after a frontend's kill

Found: the ends of a killed frontend's runs keep all later ends from being taken note of, so that over 500 pile up under a load of small tasks; no aimed moment is needed.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,6 +1,8 @@
 //! The cases, each with the check of its rule.
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::thread;
 use std::time::Duration;
 
@@ -9,8 +11,12 @@
 use crate::http;
 use crate::record::{Event, Seen};
 
-/// Jobs that come at once, each of 200 tasks.
-const LARGE_JOBS: u8 = 9;
+/// Executors of the case with small tasks.
+const SMALL_EXECUTORS: u8 = 2;
+/// Clients of that case.
+const CLIENTS: u8 = 18;
+/// A client without an answer sends its job again after this time: `resend_ms`.
+const RESEND: Duration = Duration::from_millis(1_300);
 /// `finish_s`, in milliseconds.
 const FINISH_MS: u64 = 14_000;
 /// How long a job may stand still while there is capacity for it.
@@ -66,15 +72,18 @@
     )
 }
 
-/// A start after a run of the same task has ended `done`, where that end was taken note of, and the
-/// lease of its executor had not lapsed in between.
-fn started_after_done(events: &[Event]) -> Option<(Event, Event)> {
+/// A start after a run of the same task of a stored job has ended `done`, where that end was taken
+/// note of, and the lease of its executor had not lapsed in between. Also counts such tasks.
+fn started_after_done(events: &[Event]) -> (usize, Option<(Event, Event)>) {
     let mut first = None;
     let mut count = 0;
     for (at, end) in events.iter().enumerate() {
         let Seen::End("done", number) = end.seen else {
             continue;
         };
+        if !end.task.starts_with('1') {
+            continue;
+        }
         let mut later = events[at + 1..]
             .iter()
             .filter(|e| e.executor == end.executor);
@@ -92,51 +101,44 @@
             first.get_or_insert((end.clone(), start.clone()));
         }
     }
-    if count > 0 {
-        println!("{count} tasks were started after they had ended done");
-    }
-    first
+    (count, first)
 }
 
-/// Large jobs come at once, and the core that leads is killed while their tasks run.
+/// A frontend is killed under a steady load of small tasks, most of them of stored jobs.
 pub fn twice(folder: PathBuf, trouble: bool) -> ! {
     let sizes = Sizes {
         frontends: 3,
-        executors: executors(2),
+        executors: executors(SMALL_EXECUTORS),
     };
-    let fleet = Fleet::start(folder, sizes, &config(1, "monogram-desk"));
-    let leader = fleet.leader();
-    let paths: Vec<String> = (0..LARGE_JOBS)
-        .map(|number| format!("/q/00000000000000a{number:x}"))
-        .collect();
-    for path in &paths {
-        fleet.submit(path, &job(200, 70, 1_500));
-        thread::sleep(Duration::from_millis(25));
-    }
-    let began_at = |events: &[Event]| events.iter().find(|e| e.seen == Seen::Start).map(|e| e.at);
-    let first = began_at(&fleet.record.events()).unwrap_or_default();
-    let counts: Vec<usize> = fleet.executors.iter().map(|e| e.running().len()).collect();
-    fleet
-        .record
-        .note(format!("tasks at work on each executor: {counts:?}"));
-    while fleet.record.now() < first + 1_450 {
-        thread::sleep(Duration::from_millis(5));
+    let fleet = Arc::new(Fleet::start(folder, sizes, &config(1, "monogram-desk")));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for client in 0..CLIENTS {
+        let (fleet, is_over) = (Arc::clone(&fleet), Arc::clone(&is_over));
+        clients.push(thread::spawn(move || send_jobs(&fleet, client, &is_over)));
     }
+    thread::sleep(Duration::from_secs(5));
     if trouble {
-        fleet.kill((Class::Core, leader));
+        fleet.kill((Class::Frontend, 0));
         thread::sleep(Duration::from_secs(1));
-        fleet.spawn((Class::Core, leader), false);
+        fleet.spawn((Class::Frontend, 0), false);
     }
-    for path in &paths {
-        fleet.await_state(path, &["completed"], 20_000);
+    thread::sleep(Duration::from_secs(8));
+    is_over.store(true, Relaxed);
+    for client in clients {
+        if client.join().is_err() {
+            fleet.give_up("a client has failed");
+        }
     }
-    thread::sleep(Duration::from_secs(1));
-    match started_after_done(&fleet.record.events()) {
+    thread::sleep(Duration::from_secs(4));
+    let (count, first) = started_after_done(&fleet.record.events());
+    match first {
         Some((end, start)) => fleet.finish(
             true,
             &format!(
-                "task {} ended done as run {} at {} ms on {}, which was taken note of, and was \
-                 started again as run {} at {} ms on {}",
+                "{count} tasks of stored jobs were started after they had ended done; the first: \
+                 {} ended done as run {} at {} ms on {}, which was taken note of, and was started \
+                 again as run {} at {} ms on {}",
                 end.task, end.run, end.at, end.executor, start.run, start.at, start.executor
             ),
         ),
@@ -144,6 +146,34 @@
     }
 }
 
+/// Hands jobs in, one after the other: every third client `best_effort` jobs, the others stored ones.
+fn send_jobs(fleet: &Fleet, client: u8, is_over: &AtomicBool) {
+    let is_stored = client % 3 != 0;
+    let mut number = 0;
+    while !is_over.load(Relaxed) {
+        number += 1;
+        let path = format!("/q/{}{client:03x}{number:012x}", u8::from(is_stored));
+        let body = if is_stored {
+            job(8, 500, 100)
+        } else {
+            job(2, 500, 300).replace("{\"spec\"", "{\"best_effort\":true,\"spec\"")
+        };
+        // Clients stay with their frontend, and go to the next one after a failure.
+        for attempt in 0..3 {
+            let reply = fleet.client((client / 3 + attempt) % 3, ("POST", &path), &body);
+            let status = reply.map_or(0, |reply| reply.status);
+            if !matches!(status, 0 | 502 | 504) {
+                break;
+            }
+            fleet
+                .record
+                .note(format!("client {client} POST {path}: {status}"));
+            thread::sleep(RESEND);
+        }
+        thread::sleep(Duration::from_millis(if is_stored { 90 } else { 10 }));
+    }
+}
+
 /// An executor is lost for good while it receives a start.
 pub fn stuck(folder: PathBuf, trouble: bool) -> ! {
     let sizes = Sizes {
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -268,26 +268,13 @@
         });
     }
 
-    /// Sends a signal, such as `STOP`, to the process of a machine.
-    #[allow(dead_code)]
-    pub fn signal(&self, machine: Machine, signal: &str) {
-        let (class, number) = machine;
-        self.record
-            .note(format!("{}-{number} gets SIG{signal}", class.name()));
-        let children = self.children.lock().unwrap_or_else(PoisonError::into_inner);
-        for (_, child) in children.iter().filter(|(known, _)| *known == machine) {
-            let command = format!("kill -{signal} {}", child.id());
-            let _ = Command::new("sh").args(["-c", &command]).status();
-        }
-    }
-
     fn control(&self, core: u8) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip((Class::Core, core)), CONTROL_PORT)
     }
 
     /// The operator's call: goes to any core, follows redirects, and is sent again without a clear
-    /// answer. Returns the answer and the core that gave it.
-    pub fn operate(&self, method: &str, path: &str, body: &str) -> (Reply, SocketAddrV4) {
+    /// answer.
+    pub fn operate(&self, method: &str, path: &str, body: &str) -> Reply {
         let wait = Duration::from_secs(1);
         for attempt in 0..100_u8 {
             let mut to = self.control(attempt % 3);
@@ -305,7 +292,7 @@
                     continue;
                 }
                 if reply.status < 500 {
-                    return (reply, to);
+                    return reply;
                 }
                 break;
             }
@@ -316,7 +303,7 @@
 
     /// Puts a configuration in force.
     pub fn configure(&self, config: &str) {
-        let (reply, _) = self.operate("PUT", "/config", config);
+        let reply = self.operate("PUT", "/config", config);
         let version = http::number(config, "version").unwrap_or(0);
         self.record
             .note(format!("PUT /config version {version}: {}", reply.status));
@@ -325,14 +312,6 @@
         }
     }
 
-    /// The core that leads.
-    pub fn leader(&self) -> u8 {
-        let (_, address) = self.operate("GET", "/config", "");
-        let cores = 0..3;
-        let mut cores = cores.filter(|core| self.control(*core) == address);
-        cores.next().unwrap_or(0)
-    }
-
     fn await_ready(&self) {
         for number in 0..self.sizes.frontends {
             let at = SocketAddrV4::new(self.ip((Class::Frontend, number)), READINESS_PORT);
