--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -4,9 +4,9 @@
 //! jobs of its callers.
 
 use super::bulkhead::Bulkheads;
-use super::demand::{Demand, Rank};
 use super::guard::{Guards, JobGuard};
 use super::live::{LiveJob, Outlook, TaskPhase};
+use super::load::demand::{Demand, Rank};
 use super::placing::MissedTask;
 use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
 use super::reports::{order_stop, send_recorded};
--- a/src/dispatch/demand.rs
+++ b/src/dispatch/load/demand.rs
@@ -1,9 +1,9 @@
 //! Demand of each queue, and the order of its jobs when there are too few resources for all.
 
-use super::live::{LiveJob, Outlook};
-use super::spec::QueueKey;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
+use crate::dispatch::live::{LiveJob, Outlook};
+use crate::dispatch::spec::QueueKey;
 
 /// Time constant with which past arrivals lose their weight, in milliseconds; a burst shows within
 /// seconds.
--- /dev/null
+++ b/src/dispatch/load/mod.rs
@@ -0,0 +1,6 @@
+//! Decisions under load: which job comes first, who gets room that comes free, and what is refused.
+//!
+//! These modules work on plain data. The dispatcher, the call router and the agent call them; they
+//! import none of these.
+
+pub(crate) mod demand;
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use super::bulkhead::{Compartment, used_by_others};
-use super::demand::Rank;
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId, RUNS_PER_MS};
 use super::live::{LiveJob, LiveTask, TaskPhase};
+use super::load::demand::Rank;
 use super::spec::{JobDefinition, JobId, RunId, TaskId};
 use super::wire::{AcceptorMessage, AgentOrder};
 use super::worker::{PlacedRun, Worker, WorkerId};
