Start a failed task again on a worker whose last run did not fail

A task that has failed now waits for a worker whose last run here did not fail, as long as there is one, and a worker whose last run failed gets one run at a time until one succeeds. The new pattern test had failed jobs before and has none now.

--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -25,6 +25,9 @@
 
 /// Added to a worker's cost when all of its CPU is used.
 const FULL_COST: f64 = 0.05;
+/// Added to a worker's cost for a task that has failed before, if the last run there failed; more
+/// than the difference between a fast and a slow one.
+const FAILING_COST: f64 = 10.0;
 /// Added to a worker's cost for sharing it with a suspect; more than the difference between a fast
 /// and a slow one.
 const SUSPECT_COST: f64 = 10.0;
@@ -40,7 +43,7 @@
 }
 
 impl MissedTask {
-    fn new(job: &LiveJob, key: TaskId, alone: bool) -> Self {
+    fn new(job: &LiveJob, key: TaskId, is_special: bool) -> Self {
         let definition = Arc::clone(&job.definition);
         let is_spread = definition
             .step(key)
@@ -48,7 +51,7 @@
         Self {
             definition,
             key,
-            is_special: alone || is_spread,
+            is_special: is_special || is_spread,
         }
     }
 
@@ -195,9 +198,11 @@
             return false;
         }
         let avoid = job.task_mut(key).and_then(|t| t.avoid);
-        let Some(id) = self.choose_worker(now, evacuated, &job.definition, key, avoid) else {
-            let alone = self.suspects.runs_apart(now, key);
-            self.missed.push(MissedTask::new(job, key, alone));
+        let has_failed = job.task_mut(key).is_some_and(|t| t.failures > 0);
+        let Some(id) = self.choose_worker(now, evacuated, &job.definition, key, avoid, has_failed)
+        else {
+            let is_special = has_failed || self.suspects.runs_apart(now, key);
+            self.missed.push(MissedTask::new(job, key, is_special));
             return false;
         };
         self.last_run += 1;
@@ -272,7 +277,9 @@
 
     /// Returns the worker on which the task is expected to end first, or `None` if it fits on none.
     /// Ejected workers are passed over unless there are too many of them: the others could not carry
-    /// the load then, or the cause lies elsewhere.
+    /// the load then, or the cause lies elsewhere. A task that has failed before (`has_failed`) waits
+    /// for a worker whose last run did not fail, if there is any: one that fails all that it starts
+    /// is always free, and would use up the task's attempts.
     pub(crate) fn choose_worker(
         &self,
         now: Millis,
@@ -280,6 +287,7 @@
         definition: &JobDefinition,
         key: TaskId,
         avoid: Option<WorkerId>,
+        has_failed: bool,
     ) -> Option<WorkerId> {
         let step = definition.step(key)?;
         let is_suspect = self.suspects.runs_apart(now, key);
@@ -288,6 +296,7 @@
         let mut best: Option<(f64, WorkerId)> = None;
         let mut best_ejected: Option<(f64, WorkerId)> = None;
         let mut ejected = 0;
+        let mut any_sound = false;
         for (at, worker) in self.workers.iter().enumerate() {
             ejected += usize::from(worker.ejected);
             let Some(server) = worker.available_server(now) else {
@@ -297,6 +306,7 @@
             used.add(worker.other_usage);
             let fits = server.capacity.fits(used, step.need);
             let is_evacuated = evacuated.binary_search(&server.data_centre).is_ok();
+            any_sound |= !is_evacuated && !worker.is_failing();
             let has_label = step
                 .label
                 .as_ref()
@@ -305,6 +315,9 @@
             {
                 continue;
             }
+            if worker.is_on_trial() {
+                continue;
+            }
             if step.max_per_worker > 0 && worker.count_of_step(key) >= step.max_per_worker as usize
             {
                 continue;
@@ -317,6 +330,9 @@
                 continue;
             }
             let mut cost = worker.pace;
+            if has_failed && worker.is_failing() {
+                cost += FAILING_COST;
+            }
             if has_suspects {
                 cost += SUSPECT_COST;
             }
@@ -350,7 +366,8 @@
             let both = best.into_iter().chain(best_ejected);
             best = both.min_by(|a, b| a.0.total_cmp(&b.0));
         }
-        best.map(|(_, id)| id)
+        let best = best.map(|(_, id)| id);
+        best.filter(|id| !(has_failed && any_sound && self.workers[id.0].is_failing()))
     }
 }
 
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -255,6 +255,17 @@
         self.paused_until = now + pause;
     }
 
+    /// True if the last run that ended here failed.
+    pub(crate) fn is_failing(&self) -> bool {
+        self.failures_in_a_row > 0
+    }
+
+    /// True while a run here shows whether the worker goes on failing. It gets no other one until
+    /// then: a worker that fails all at once would else take all the work that waits.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        self.is_failing() && !self.runs.is_empty()
+    }
+
     /// Returns true if no end with this number or a higher one has been received.
     pub(crate) fn is_new_end(&self, number: u64) -> bool {
         number > self.last_end_number
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -8,6 +8,7 @@
 
 mod deadly_queue;
 mod deadly_tasks;
+mod failing_workers;
 mod grey_hang_many_entries;
 mod overload_of_many_entries;
 mod shrinking_room;
