Control: a voter that learns of a term keeps waiting for the former lease

Cause, found by reading: the refusal of other candidates within an election timeout of a leader's message held only for terms later than the voter's own. A voter that adopted a term from a late answer voted at once for a candidate of that term, though the leader of the former term might still count it for its lease.

Change: the refusal holds for the voter's own term as well, unless its vote names the candidate. ElectionCause is exported for the tests.

--- a/src/control/elect.rs
+++ b/src/control/elect.rs
@@ -188,9 +188,9 @@
             ElectionCause::Handover => true,
             ElectionCause::Leaderless => self.leaderless_voters.is_some(),
         };
-        if term > self.term && self.must_wait(now, from) && !skips_wait {
+        if self.must_wait(now, from) && !skips_wait {
             // A candidate that was partitioned must not depose the leader, whose lease relies on
-            // this refusal.
+            // this refusal. The term may be this replica's own, learnt from a late answer.
             self.send(
                 from,
                 Body::Voted {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,7 +29,7 @@
 pub use crate::control::log::{
     DiskId, Index, LogEntry, Payload, Position, Record, ReplicaId, Snapshot, Term, Voter,
 };
-pub use crate::control::message::{Body, Message, SnapshotChunk};
+pub use crate::control::message::{Body, ElectionCause, Message, SnapshotChunk};
 pub use crate::control::raft::{
     Durable, Raft, RaftGuard, RaftInput, RaftOutput, RaftRole, RaftTiming,
 };
