Keep runs whose ends a backend server has not listed yet

Cause: a backend server lists at most 500 ends, and the next ones once these are acknowledged. An agent took a run that was neither running nor in the list as gone, and the leader started its task again.

While the list was full, ends behind it were not reported: jobs of other entries got no answer.

Change: a list that is as long as it can be is marked as incomplete. A run that is missing from it is kept until its end is listed; a start without an answer is still stopped at once. An agent that has restarted sends its inventory only when it has seen a whole list, and passes the group's ends on before that. The lease meanwhile ends with the group's grant, as ends of stored jobs may be among the rest. Ends of transient jobs are confirmed after 100 ms if others wait behind them; the agent keeps them for their entry. Runs that have ended without being listed are no longer reported as standing still.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -112,8 +112,11 @@
     pub(crate) term: Term,
     pub(crate) min_token: u64,
     // The incarnation of the backend server that last answered a hold call, and the highest term
-    // under which it did.
+    // under which it did; `None` until one answer had all ends that waited there, as runs that this
+    // agent does not know may be among the rest.
     pub(crate) listed_under: Option<(u64, Term)>,
+    // The newest list of ends may be incomplete.
+    pub(crate) may_have_more_ends: bool,
     pub(crate) dispatchers: Table<Owner, DispatcherLink>,
     // The evacuated data centres, and the index of the replicated log at which they were set.
     pub(crate) evacuated_index: u64,
@@ -174,6 +177,7 @@
             term: Term(0),
             min_token: 0,
             listed_under: None,
+            may_have_more_ends: false,
             dispatchers: Table::default(),
             evacuated_index: 0,
             evacuated: Vec::new(),
@@ -373,11 +377,13 @@
         self.min_token = 0;
         self.server_clock = None;
         self.listed_under = None;
+        self.may_have_more_ends = false;
         self.ejection = Ejection::default();
         self.answer_times = AnswerTimes::new();
         self.report_to_informed(&AgentReport::Server(None), out);
         for (_, dispatcher) in self.dispatchers.iter_mut() {
             dispatcher.has_inventory = false;
+            dispatcher.reported_end = 0;
         }
     }
 
@@ -407,6 +413,12 @@
     /// Assigns the runs and ends that an earlier incarnation of this agent left behind to the
     /// dispatchers that expect them.
     pub(crate) fn assign_inherited(&mut self) {
+        let run_owners = self.runs.iter().map(|(_, agent_run)| agent_run.owner);
+        let mut owners = run_owners.chain(self.ends.iter().map(|end| end.owner));
+        if !owners.any(|owner| owner == Owner::Unclaimed) {
+            return;
+        }
+        drop(owners);
         for (owner, dispatcher) in self.dispatchers.iter() {
             for key in &dispatcher.expected_runs {
                 if let Some(agent_run) = self.runs.get_mut(key)
@@ -546,17 +558,33 @@
         self.drop_recorded(now, out);
     }
 
-    /// Drops the leading recorded ends and advances the number up to which the backend server may
-    /// forget its own.
+    /// Advances the number up to which the backend server may forget its ends, and drops those that
+    /// are recorded. Ends that an entry has not recorded in time hold up no others: they are kept
+    /// here for a while, and lost if this agent ends.
     pub(crate) fn drop_recorded(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        let done = self.ends.iter().take_while(|end| end.recorded).count();
-        let Some(last) = done.checked_sub(1) else {
+        let is_done = |end: &&RetainedEnd| end.recorded || end.may_be_confirmed(now);
+        let done = self.ends.iter().take_while(is_done).count();
+        let leading = &self.ends[..done];
+        let confirmed = if self.may_have_more_ends {
+            leading.last()
+        } else {
+            // Nothing waits behind the ends after the last recorded one.
+            leading.iter().rfind(|end| end.recorded)
+        };
+        let Some(last) = confirmed.map(|end| end.number) else {
             return;
         };
-        self.acknowledged_end = self.ends[last].number;
-        self.ends.drain(..done);
-        if self.ends.is_empty() && self.open_holds == 0 {
+        let had_unconfirmed = self.has_unconfirmed_ends();
+        self.acknowledged_end = self.acknowledged_end.max(last);
+        self.ends.retain(|end| !end.recorded || end.number > last);
+        if had_unconfirmed && !self.has_unconfirmed_ends() && self.open_holds == 0 {
             self.send_hold(now, self.hold_wait(), out);
         }
     }
+
+    /// True while the backend server lists ends that the agent has already got.
+    pub(crate) fn has_unconfirmed_ends(&self) -> bool {
+        let last = self.ends.last();
+        last.is_some_and(|end| end.number > self.acknowledged_end)
+    }
 }
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -74,6 +74,9 @@
         let run_owners = self.runs.iter().map(|(_, agent_run)| agent_run.owner);
         let limiting_ends = self.ends.iter().filter(|end| end.limits_lease());
         let owners = run_owners.chain(limiting_ends.map(|end| end.owner));
+        // Ends that are not listed yet may be those of stored jobs' tasks.
+        let has_unknown_ends = self.may_have_more_ends && self.listed_under.is_none();
+        let owners = owners.chain(has_unknown_ends.then_some(Owner::Group));
         let grant_expiry = |owner: Owner| {
             let dispatcher = self.dispatchers.get(&owner);
             dispatcher.map_or(Millis(0), |dispatcher| dispatcher.grant_expires_at)
--- a/src/dispatch/agent_links.rs
+++ b/src/dispatch/agent_links.rs
@@ -47,6 +47,7 @@
         // backend server refuses the calls of former leaders.
         self.send_hold(now, Millis(0), out);
         self.report_inventories(out);
+        self.report_early_ends(out);
     }
 
     pub(crate) fn on_welcome(
@@ -109,6 +110,28 @@
         }
     }
 
+    /// Sends the group's leader the ends of its runs before the inventory, which must wait until the
+    /// backend server has listed all ends: it lists further ones only once these are recorded.
+    pub(crate) fn report_early_ends(&mut self, out: &mut Vec<ServerAgentOutput>) {
+        let life = self.life();
+        let Some(dispatcher) = self.dispatchers.get_mut(&Owner::Group) else {
+            return;
+        };
+        let is_due = dispatcher.connected && !dispatcher.has_inventory;
+        if !is_due || self.listed_under.is_some() {
+            return;
+        }
+        let reported = dispatcher.reported_end;
+        let own = self.ends.iter().filter(|e| e.owner == Owner::Group);
+        let new = own.filter(|e| !e.recorded && e.number > reported);
+        let ends: Vec<_> = new.map(|e| (e.number, e.end)).collect();
+        if let Some((last, _)) = ends.last() {
+            dispatcher.reported_end = *last;
+            let report = AgentReport::Ends { life, ends };
+            out.push(ServerAgentOutput::Report(Owner::Group, report));
+        }
+    }
+
     /// Sends the unrecorded ends, then the inventory: the dispatcher treats a run that is missing
     /// from the inventory as lost unless it already knows its end.
     pub(crate) fn report_inventory(
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -186,16 +186,20 @@
             self.lease_expires_at = self.lease_expires_at.max(until);
             Term(0)
         };
-        self.listed_under = Some((life, term.max(former_term)));
+        if !listing.may_have_more_ends || self.listed_under.is_some() {
+            self.listed_under = Some((life, term.max(former_term)));
+        }
         self.record_new_ends(now, &listing, out);
         // Answers may arrive out of order; an older one may list runs that have ended since.
         if sent_at >= self.listed_as_of {
             self.listed_as_of = sent_at;
+            self.may_have_more_ends = listing.may_have_more_ends;
             self.update_running(now, sent_at, &listing, out);
         }
         self.assign_inherited();
         self.report_inventories(out);
-        if !self.ends.is_empty() {
+        self.report_early_ends(out);
+        if self.has_unconfirmed_ends() {
             self.next_hold_at = now + HOLD_PAUSE;
         } else if self.open_holds == 0 {
             self.send_hold(now, self.hold_wait(), out);
@@ -268,6 +272,7 @@
             agent_run.percent = *percent;
             agent_run.known_started = true;
             agent_run.listed = true;
+            agent_run.listed_as_of = sent_at;
             if matches!(agent_run.phase, RunPhase::Starting | RunPhase::Unanswered) {
                 agent_run.enter(RunPhase::Running, now);
                 started.push((key, agent_run.owner));
@@ -281,7 +286,8 @@
 
     /// Decides about the runs that the answer to the hold call sent at `sent_at` did not list. A run
     /// whose start got no answer may still start, so it is stopped. A running or stopped run is
-    /// dropped. An open start or stop call is left to its answer or to a retry.
+    /// dropped, unless its end may be one of those that the list does not hold yet. An open start or
+    /// stop call is left to its answer or to a retry.
     pub(crate) fn settle_unlisted_runs(
         &mut self,
         now: Millis,
@@ -289,18 +295,17 @@
         listing: &HoldReply,
         out: &mut Vec<ServerAgentOutput>,
     ) {
+        let mut running: Vec<_> = listing.running.iter().map(|(t, r, _)| (*t, *r)).collect();
+        running.sort_unstable();
         let mut revoke = Vec::new();
         let mut gone = Vec::new();
         for (key, agent_run) in self.runs.iter() {
-            let listed = listing
-                .running
-                .iter()
-                .any(|(task, run, _)| (*task, *run) == *key);
-            if listed || agent_run.changed_at >= sent_at {
+            if running.binary_search(key).is_ok() || agent_run.changed_at >= sent_at {
                 continue;
             }
             match agent_run.phase {
                 RunPhase::Unanswered if self.guards.on(JobGuard::Revoke) => revoke.push(*key),
+                _ if listing.may_have_more_ends => {}
                 RunPhase::Unanswered | RunPhase::Running | RunPhase::Stopped => gone.push(*key),
                 RunPhase::Starting | RunPhase::Stopping => {}
             }
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -39,6 +39,8 @@
     pub(crate) known_started: bool,
     /// The present incarnation of the backend server has listed it.
     pub(crate) listed: bool,
+    /// When the latest hold call was sent whose answer listed it as running.
+    pub(crate) listed_as_of: Millis,
     /// An earlier incarnation of the agent started it. Its lease expires soon unless its dispatcher
     /// grants more time.
     pub(crate) inherited: bool,
@@ -57,6 +59,7 @@
             percent: 0,
             known_started: false,
             listed: false,
+            listed_as_of: Millis(0),
             inherited: false,
             ordered_at: now,
             answered_at: None,
@@ -74,6 +77,7 @@
             percent: 0,
             known_started: true,
             listed: true,
+            listed_as_of: now,
             inherited: true,
             ordered_at: now,
             answered_at: None,
@@ -86,7 +90,12 @@
     }
 }
 
-/// The end of a run, retained until the backend server may forget it.
+/// An end that no entry has recorded may be confirmed to the backend server after this long, if the
+/// ends of other dispatchers wait behind it. Entries record within two hops and one of their turns.
+const CONFIRM_AFTER: Millis = Millis(100);
+
+/// The end of a run, retained until the backend server may forget it and its dispatcher has
+/// recorded it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RetainedEnd {
     /// Its number, assigned by the present incarnation of the backend server.
@@ -100,6 +109,13 @@
 }
 
 impl RetainedEnd {
+    /// True if the backend server may forget the end although its dispatcher has not recorded it.
+    /// Only the ends of stored jobs' tasks must be on record by then: a transient job whose end is
+    /// lost with this agent is sent again by its caller, or started again.
+    pub(crate) fn may_be_confirmed(&self, now: Millis) -> bool {
+        self.owner != Owner::Group && now.since(self.received_at) >= CONFIRM_AFTER
+    }
+
     /// True while the end keeps the backend server's lease from outlasting the group's grant. The
     /// end of a stored job's task counts unless the lease expires before it is recorded, so a
     /// longer lease could make it count after the group has started the task elsewhere.
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -45,10 +45,10 @@
             return;
         }
         if self.open_holds == 0 && now >= self.next_hold_at {
-            let max_wait = if self.ends.is_empty() {
-                self.hold_wait()
-            } else {
+            let max_wait = if self.has_unconfirmed_ends() {
                 Millis(0)
+            } else {
+                self.hold_wait()
             };
             self.send_hold(now, max_wait, out);
         }
@@ -190,7 +190,9 @@
         self.progress_reported_at = now;
         let mut by_owner: Table<Owner, Vec<(TaskId, RunId, u32)>> = Table::default();
         for ((task, run), agent_run) in self.runs.iter() {
+            // A run that was not listed has ended: its progress is not known, rather than none.
             if agent_run.phase == RunPhase::Running
+                && agent_run.listed_as_of >= self.listed_as_of
                 && now.since(agent_run.changed_at) >= PROGRESS_INTERVAL
             {
                 let rows = by_owner.or_insert_with(agent_run.owner, Vec::new);
--- a/src/dispatch/dispatcher_link.rs
+++ b/src/dispatch/dispatcher_link.rs
@@ -40,6 +40,8 @@
     pub(crate) has_inventory: bool,
     /// The agent may act for it until this time of the agent's clock.
     pub(crate) grant_expires_at: Millis,
+    /// Number of the last end that was reported to it over that session before the inventory.
+    pub(crate) reported_end: u64,
     /// Runs that it believes this agent to hold.
     pub(crate) expected_runs: Vec<(TaskId, RunId)>,
     /// The usage of other dispatchers that was last reported to it.
@@ -57,6 +59,7 @@
         self.epoch = epoch;
         self.connected = true;
         self.has_inventory = false;
+        self.reported_end = 0;
         self.reported_usage = None;
     }
 
--- a/src/dispatch/server_call.rs
+++ b/src/dispatch/server_call.rs
@@ -95,8 +95,11 @@
     pub started_at: Option<u64>,
     /// Runs that have not ended, with their progress in percent.
     pub running: Vec<(TaskId, RunId, u32)>,
-    /// Ends that the agent has not acknowledged, with their numbers.
+    /// Ends that the agent has not acknowledged, with their numbers, lowest first.
     pub ended: Vec<(u64, TaskId, RunId, RunOutcome)>,
+    /// There may be further ends, as the list of ends is as long as it can be. A run that is in
+    /// neither list may have ended then.
+    pub may_have_more_ends: bool,
 }
 
 /// An announcement of a backend server to its agent.
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -14,6 +14,9 @@
 const CRASH_AGE: Millis = Millis(45);
 const DOWN_TIME: Millis = Millis(3_000);
 
+/// Longest list of ends in an answer to a hold call.
+const MAX_LISTED_ENDS: usize = 500;
+
 #[derive(Debug, Clone, Copy)]
 struct ActiveRun {
     started_at: Millis,
@@ -170,6 +173,17 @@
         self.running.len()
     }
 
+    /// Number of ends that the agent has not acknowledged.
+    pub fn end_count(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Runs up to `count` of the tests' tasks at a time.
+    pub fn enlarge(&mut self, count: u32) {
+        self.capacity.cpu = 1_000 * count;
+        self.capacity.memory = 10 * count;
+    }
+
     fn finish(&mut self, now: Millis, key: (TaskId, RunId), outcome: RunOutcome) {
         self.running.remove(&key);
         self.last_end_number += 1;
@@ -326,7 +340,8 @@
                 .iter()
                 .map(|((task, run), active)| (*task, *run, percent(active)))
                 .collect(),
-            ended: self.ends.clone(),
+            ended: self.ends.iter().take(MAX_LISTED_ENDS).copied().collect(),
+            may_have_more_ends: self.ends.len() >= MAX_LISTED_ENDS,
         }
     }
 }
--- a/tests/fakes/stored.rs
+++ b/tests/fakes/stored.rs
@@ -25,6 +25,8 @@
 };
 /// Duration of a disk sync, in milliseconds.
 const SYNC_MS: u64 = 9;
+/// With more calls than this, a test's agent calls without end: one is handled in each millisecond.
+const MAX_CALLS: usize = 2_000;
 const AGENT_SESSION: SessionId = SessionId(1);
 const OTHER_AGENT: SessionId = SessionId(2);
 /// Incarnation number of an entry that keeps its session with the agent.
@@ -55,6 +57,8 @@
     pub disabled: Vec<JobGuard>,
     /// The backend server executes all calls, but its answers do not arrive.
     pub is_mute: bool,
+    /// Number of the next start calls that are lost and get no answer.
+    pub lost_starts: u32,
     /// Messages on sessions of other agents, which a test plays itself.
     pub other_messages: Vec<(SessionId, AcceptorMessage)>,
 }
@@ -79,6 +83,7 @@
             agent_cut_off: false,
             disabled: disabled.to_vec(),
             is_mute: false,
+            lost_starts: 0,
             other_messages: Vec::new(),
         };
         for guard in disabled {
@@ -162,6 +167,22 @@
         }
     }
 
+    /// Restarts the agent's process. Its backend server runs on and announces itself at once.
+    pub fn restart_agent(&mut self) {
+        self.agent = ServerAgent::new(Times::default());
+        for guard in &self.disabled {
+            self.agent.disable(*guard);
+        }
+        self.calls.clear();
+        self.leader = None;
+        for at in 0..3 {
+            self.input(at, ReplicaInput::Closed(AGENT_SESSION));
+        }
+        self.reconnect_agent();
+        let heartbeat = self.server.heartbeat();
+        self.agent_input(ServerAgentInput::Heartbeat(heartbeat));
+    }
+
     pub fn input(&mut self, at: usize, input: ReplicaInput) {
         let now = self.now;
         let Some(replica) = &mut self.slots[at].replica else {
@@ -263,12 +284,20 @@
                 self.input(usize::try_from(to.0).unwrap() - 1, input);
             }
             while let Some(call) = self.calls.pop_front() {
-                let mut reply = self.server.call(now, &call);
-                if self.is_mute {
-                    reply = ServerReply::NoAnswer;
-                }
+                let is_start = matches!(call.kind, fulmardrift::ServerCallKind::Start { .. });
+                let reply = if is_start && self.lost_starts > 0 {
+                    self.lost_starts -= 1;
+                    ServerReply::NoAnswer
+                } else {
+                    let reply = self.server.call(now, &call);
+                    if self.is_mute {
+                        ServerReply::NoAnswer
+                    } else {
+                        reply
+                    }
+                };
                 self.agent_input(ServerAgentInput::Replied(call.id, reply));
-                if self.calls.len() > 64 {
+                if self.calls.len() > MAX_CALLS {
                     break;
                 }
                 if matches!(call.kind, fulmardrift::ServerCallKind::Hold { .. }) {
