Give up a start without an answer when its backend server is lost for good

Cause: once the lease of a crashed backend server had lapsed, its agent dropped the runs that were known to have started. A start without an answer was kept until the next incarnation refused it. If none came, nothing ended that run.

What callers saw: a stored job stayed "running", with nothing at work, for as long as the same leader led (LOST). A transient job was answered only at its deadline.

Change: a start whose connection was closed without an answer ends with the lease, as only the process that had accepted it could execute it. One that was given up while its connection was open may still reach a next incarnation, so it is kept for 15 s (MAX_CALL_DELAY), and is then reported as not started. Both are still stopped at a next incarnation that comes within that time. A dispatcher notes at the crash that such a run may have run, so a transient job is not answered as "not run". Starts without an answer that are too old are forgotten also while no next incarnation comes.

--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -17,7 +17,7 @@
 const HOLD_MARGIN: Millis = Millis(50);
 /// A call without an answer is executed within this time or not at all. The users' protocol speaks
 /// of seconds.
-const MAX_CALL_DELAY: Millis = Millis(15_000);
+pub(crate) const MAX_CALL_DELAY: Millis = Millis(15_000);
 
 impl ServerAgent {
     pub(crate) fn call_start(
@@ -128,13 +128,18 @@
     /// The new incarnation does not know of earlier stops and would execute such a start when it
     /// arrives late.
     pub(crate) fn stop_unanswered(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        self.unanswered_starts
-            .retain(|(at, ..)| now.since(*at) < MAX_CALL_DELAY);
+        self.forget_old_starts(now);
         for (_, task, run) in self.unanswered_starts.clone() {
             self.call_stop(now, task, run, out);
         }
     }
 
+    /// Forgets the starts without an answer that can't be executed any more.
+    pub(crate) fn forget_old_starts(&mut self, now: Millis) {
+        self.unanswered_starts
+            .retain(|(at, ..)| now.since(*at) < MAX_CALL_DELAY);
+    }
+
     pub(crate) fn call_stop(
         &mut self,
         now: Millis,
--- a/src/dispatch/agent_crashes.rs
+++ b/src/dispatch/agent_crashes.rs
@@ -1,10 +1,11 @@
 //! Crashes of an agent's backend server: which runs had begun there, and which dispatchers know.
 
 use super::agent::{ServerAgent, ServerAgentOutput, list_tasks};
+use super::agent_run::AgentRun;
 use super::dispatcher_link::Owner;
 use super::server_call::ServerReply;
 use super::spec::{RunId, TaskId};
-use super::wire::{AgentReport, Evidence};
+use super::wire::{AgentReport, Denial, Evidence};
 use crate::core::clock::Millis;
 use crate::events;
 
@@ -160,17 +161,19 @@
 
     /// Drops the runs of a process that accepts no connections, now that its lease has expired: it
     /// has crashed, or has ended them. A start without an answer may still reach the next incarnation, so
-    /// it is kept until that one refuses it.
+    /// it is kept until that one refuses it, or until it can't arrive any more: the process may never
+    /// be replaced.
     pub(crate) fn drop_crashed_runs(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        let (runs, unanswered) = self.split_runs();
+        let is_over = |agent_run: &AgentRun| agent_run.is_over_with_process(now);
+        let over = self.runs.iter().filter(|(_, run)| is_over(run)).count();
         let void_ends = self.ends.iter().filter(|end| end.limits_lease()).count();
-        if runs.len() + void_ends == 0 {
+        if over + void_ends == 0 {
             return;
         }
+        let (runs, unanswered) = self.split_runs();
         events::LEASE_LAPSED.log(format_args!(
-            "life={} runs={} ends={void_ends}",
-            self.life(),
-            runs.len()
+            "life={} runs={over} ends={void_ends}",
+            self.life()
         ));
         self.void_ends();
         for key in &runs {
@@ -179,8 +182,17 @@
             }
         }
         self.usage_report_due = true;
+        // The report names the starts without an answer only once, so that none seems to have been
+        // alone there.
+        if !self.crash_log.dropped || !runs.is_empty() {
+            self.log_crash(now, runs, unanswered, out);
+        }
         self.crash_log.dropped = true;
-        self.log_crash(now, runs, unanswered, out);
+        let rest = self.runs.iter().filter(|(_, run)| is_over(run));
+        let rest: Vec<_> = rest.map(|(key, _)| *key).collect();
+        for key in rest {
+            self.drop_not_started(now, key, Denial::Closed, "lapse", out);
+        }
     }
 
     /// The process answers after all: dispatchers may use the backend server again.
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -1,6 +1,7 @@
 //! How an agent processes the answers of its backend server.
 
 use super::agent::{PendingCall, ServerAgent, ServerAgentOutput};
+use super::agent_calls::MAX_CALL_DELAY;
 use super::agent_crashes::Loss;
 use super::agent_run::{AgentRun, RetainedEnd, RunPhase};
 use super::dispatcher_link::Owner;
@@ -101,9 +102,19 @@
             | ServerReply::HoldReply(_) => {
                 events::START_UNANSWERED.log(format_args!("task={} run={}", key.0, key.1.0));
                 self.unanswered_starts.push((now, key.0, key.1));
+                // A call whose connection has ended was executed by the process that accepted it, or
+                // was not. One that was given up may still arrive.
+                let is_settled = *reply == ServerReply::Disconnected;
+                let delay = if is_settled {
+                    Millis(0)
+                } else {
+                    MAX_CALL_DELAY
+                };
+                agent_run.may_begin_until = now + delay;
                 if agent_run.phase == RunPhase::Starting {
                     agent_run.enter(RunPhase::Unanswered, now);
                 }
+                self.forget_old_starts(now);
                 self.send_hold(now, Millis(0), out);
             }
         }
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -1,5 +1,6 @@
 //! The runs that an agent holds, and the ends that it retains until they are recorded.
 
+use super::agent_calls::MAX_CALL_DELAY;
 use super::dispatcher_link::Owner;
 use super::replicated_state::RunEnd;
 use super::spec::{Resources, RunId, RunOutcome};
@@ -41,6 +42,8 @@
     pub(crate) listed: bool,
     /// When the latest hold call was sent whose answer listed it as running.
     pub(crate) listed_as_of: Millis,
+    /// A start call of it that is not known to have been executed may still be until then.
+    pub(crate) may_begin_until: Millis,
     /// An earlier incarnation of the agent started it. Its lease expires soon unless its dispatcher
     /// grants more time.
     pub(crate) inherited: bool,
@@ -60,6 +63,7 @@
             known_started: false,
             listed: false,
             listed_as_of: Millis(0),
+            may_begin_until: now + MAX_CALL_DELAY,
             inherited: false,
             ordered_at: now,
             answered_at: None,
@@ -78,12 +82,19 @@
             known_started: true,
             listed: true,
             listed_as_of: now,
+            may_begin_until: now,
             inherited: true,
             ordered_at: now,
             answered_at: None,
         }
     }
 
+    /// True for a run that no call can begin any more, whose backend server has ended all that it
+    /// may have begun.
+    pub(crate) fn is_over_with_process(&self, now: Millis) -> bool {
+        self.known_started || (self.phase != RunPhase::Starting && now >= self.may_begin_until)
+    }
+
     pub(crate) fn enter(&mut self, phase: RunPhase, now: Millis) {
         self.phase = phase;
         self.changed_at = now;
--- a/src/dispatch/crashes.rs
+++ b/src/dispatch/crashes.rs
@@ -25,6 +25,14 @@
     ) {
         let begun = runs_to_blame(runs, unanswered);
         self.blame_cause(now, id, begun, out);
+        // They may have run, though the agent will say of each that it can start no more.
+        for key in unanswered {
+            if self.workers[id.0].runs.get(key).is_some()
+                && let Some(job) = self.jobs.get_mut(&key.0.job)
+            {
+                job.has_lost_run = true;
+            }
+        }
         let new = self.suspects.record_crash(now, begun, unanswered);
         match (self.id, state) {
             (DispatcherId::Group(_), Some(state)) if self.guards.on(JobGuard::CrashRecord) => {
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -59,6 +59,8 @@
     pub deadly: Vec<TaskId>,
     /// Age at which they do; at 0 the start call is not answered.
     pub crash_age: Millis,
+    /// It never comes back after a crash.
+    pub is_lost: bool,
     /// When it is back after a crash; it is down until then.
     down_until: Option<Millis>,
     /// It refuses all connections until then, but runs on.
@@ -99,6 +101,7 @@
             failures_to_come: 0,
             deadly: Vec::new(),
             crash_age: CRASH_AGE,
+            is_lost: false,
             down_until: None,
             refuses_until: Millis(0),
             slow_clock_percent: 0,
@@ -151,7 +154,7 @@
 
     /// Crashes if a deadly task has run for long enough, and comes back when it is time.
     fn crash_if_due(&mut self, now: Millis) {
-        if self.down_until.is_some_and(|until| now >= until) {
+        if !self.is_lost && self.down_until.is_some_and(|until| now >= until) {
             self.down_until = None;
         }
         let kills = |(key, active): (&(TaskId, RunId), &ActiveRun)| {
