Count the pending jobs of a queue by its host and prefix

Cause: the settings of a queue are copied into each job when it is accepted, and the number of pending jobs was that of the jobs with the queue's present settings. Nothing else told to which queue a job belonged.

Queues with equal settings got the sum of their jobs.

Change: a job is accepted with the host and prefix of its queue: StateCommand::AcceptFor, a new last variant, and a new last field of the replicated state. As with other new commands, an instance of the former program can't apply the new one, so instances are replaced before the leader is.

Tests: stored_jobs::jobs_are_counted_that_were_accepted_under_other_settings_of_their_queue failed on the former code (pending 5 at the other queue with the same settings), and passes now; formats::a_snapshot_without_queues_is_read.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -11,7 +11,7 @@
 use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
 use super::reports::{order_stop, send_recorded};
 use super::run_trace::{DroppedJobs, RunProof};
-use super::spec::{JobId, JobStatus, QueueSettings};
+use super::spec::{JobId, JobStatus, Queue};
 use super::suspects::Suspects;
 use super::times::{self, GROUP_GRANT};
 use super::wire::AcceptorMessage;
@@ -213,13 +213,12 @@
         self.waiting.insert(at, row);
     }
 
-    /// Number of jobs with these queue settings of which no task has started.
-    pub(crate) fn count_pending(&self, settings: &QueueSettings) -> u64 {
-        let waiting = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| !j.started && j.definition.settings == *settings);
-        waiting.count() as u64
+    /// Number of stored jobs of a queue of which no task has started.
+    pub(crate) fn count_pending(&self, state: &ReplicatedState, queue: &Queue) -> u64 {
+        let is_of_queue =
+            |id: JobId, job: &LiveJob| state.is_of_queue(id, &job.definition.settings, queue);
+        let waiting = self.jobs.iter().filter(|(_, job)| !job.started);
+        waiting.filter(|(id, job)| is_of_queue(**id, job)).count() as u64
     }
 
     /// Returns true once a task of the job has started, as far as this dispatcher knows.
--- a/src/dispatch/replica_calls.rs
+++ b/src/dispatch/replica_calls.rs
@@ -5,7 +5,7 @@
 use super::replica::{Replica, ReplicaOutput};
 use super::replicated_state::{Job, StateCommand};
 use super::routes::{self, Target};
-use super::spec::{JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings};
+use super::spec::{JobId, JobStatus, OperatorConfig, Queue};
 use crate::core::clock::Millis;
 use crate::events;
 
@@ -77,13 +77,11 @@
         match (routes::find(config, host, path), action) {
             (Target::Unknown, _) => Some(CallReply::NoQueue),
             (Target::Queue(queue), ClientAction::Query) => {
-                let settings = queue.settings.clone();
-                Some(CallReply::Pending(self.count_pending(&settings)))
+                Some(CallReply::Pending(self.count_pending(queue)))
             }
             (Target::Job(_, id), ClientAction::Query) => Some(self.job_status(id)),
             (Target::Job(_, id), ClientAction::Cancel) => self.cancel(origin, id),
             (Target::Job(queue, id), ClientAction::Submit(Some(spec))) => {
-                let settings = queue.settings.clone();
                 if self.state.jobs.get(&id).is_some() {
                     return Some(CallReply::Done);
                 }
@@ -95,7 +93,9 @@
                     // The entry did not have a configuration yet, so it forwarded a transient job.
                     return Some(CallReply::NotLeader);
                 }
-                self.accept(origin, id, settings, spec);
+                let command =
+                    StateCommand::AcceptFor(queue.place(), id, queue.settings.clone(), spec);
+                self.accept(origin, id, command);
                 None
             }
             (_, ClientAction::Submit(_)) => Some(CallReply::Invalid("not a job".to_owned())),
@@ -107,13 +107,7 @@
 
     /// Proposes to accept a job. A further submission before the commit waits for the same log
     /// entry.
-    pub(crate) fn accept(
-        &mut self,
-        origin: Origin,
-        id: JobId,
-        settings: QueueSettings,
-        spec: JobSpec,
-    ) {
+    pub(crate) fn accept(&mut self, origin: Origin, id: JobId, command: StateCommand) {
         let proposed = self.pending.iter_mut().map(|(_, pending)| pending);
         let batched = self.batch.iter_mut().map(|(_, pending)| pending);
         for pending in proposed.chain(batched) {
@@ -124,7 +118,6 @@
                 return;
             }
         }
-        let command = StateCommand::Accept(id, settings, spec);
         self.batch
             .push((command, PendingReply::Accept(id, vec![origin])));
     }
@@ -157,11 +150,11 @@
         }
     }
 
-    /// Number of jobs with these queue settings of which no task has started.
-    pub(crate) fn count_pending(&self, settings: &QueueSettings) -> u64 {
+    /// Number of stored jobs of a queue of which no task has started.
+    pub(crate) fn count_pending(&self, queue: &Queue) -> u64 {
         let Some(dispatcher) = &self.dispatcher else {
             return 0;
         };
-        dispatcher.count_pending(settings)
+        dispatcher.count_pending(&self.state, queue)
     }
 }
--- a/src/dispatch/replicated_state.rs
+++ b/src/dispatch/replicated_state.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::spec::{
-    JobDefinition, JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings, RunId, RunOutcome,
-    Step, TaskId,
+    JobDefinition, JobId, JobSpec, JobStatus, OperatorConfig, Queue, QueuePlace, QueueSettings,
+    RunId, RunOutcome, Step, TaskId,
 };
 use super::suspects::{CrashedRun, is_given_up};
 use crate::core::table::Table;
@@ -24,7 +24,8 @@
     Enroll(String),
     /// Removes an agent whose grant and lease expired long ago, so that it cannot hold any run.
     Dismiss(String),
-    /// Accepts a job.
+    /// Accepts a job whose queue is known by its settings only: in logs of versions without
+    /// [`StateCommand::AcceptFor`].
     Accept(JobId, QueueSettings, JobSpec),
     /// Cancels a job at its caller's request.
     Cancel(JobId),
@@ -34,6 +35,8 @@
     Forget(Vec<JobId>),
     /// Records runs on which their backend server crashed.
     Crashed(Vec<CrashedRun>),
+    /// Accepts a job of the queue at this place.
+    AcceptFor(QueuePlace, JobId, QueueSettings, JobSpec),
 }
 
 /// The end of a run.
@@ -144,19 +147,21 @@
     pub(crate) jobs: Table<JobId, Job>,
     /// Index of the last log entry that was applied.
     pub(crate) applied: u64,
-    /// The runs of open jobs' tasks on which a backend server crashed, each once. The last field:
-    /// see [`ReplicatedState::decode`].
+    /// The runs of open jobs' tasks on which a backend server crashed, each once. This field and
+    /// the next one are the last: see [`ReplicatedState::decode`].
     pub(crate) crashes: Table<TaskId, Vec<RunId>>,
+    /// The queues that accepted the open jobs, as far as they are known.
+    pub(crate) queues: Table<JobId, QueuePlace>,
 }
 
-/// Encoding of an empty table: no chunks and no rows.
-const NO_CRASHES: [u8; 2] = [0, 0];
+/// Encoding of two empty tables, each of no chunks and no rows.
+const EMPTY_TABLES: [u8; 4] = [0; 4];
 
 impl ReplicatedState {
-    /// Decodes a snapshot. One of a version that recorded no crashes ends before them, so the
-    /// encoding of none is added; where it is not needed, it is not read.
+    /// Decodes a snapshot. One of a version that recorded no crashes, or no queues, ends before
+    /// them, so the encoding of none is added; what of it is not needed is not read.
     pub(crate) fn decode(snapshot: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(&[snapshot, &NO_CRASHES].concat())
+        postcard::from_bytes(&[snapshot, &EMPTY_TABLES].concat())
     }
 
     /// Applies a command and appends the resulting changes to `changes`.
@@ -176,7 +181,12 @@
             }
             StateCommand::Enroll(agent) => set_member(&mut self.agents, agent, true),
             StateCommand::Dismiss(agent) => set_member(&mut self.agents, agent, false),
-            StateCommand::Accept(id, settings, spec) => self.accept(id, settings, spec, changes),
+            StateCommand::Accept(id, settings, spec) => {
+                self.accept(None, id, settings, spec, changes);
+            }
+            StateCommand::AcceptFor(queue, id, settings, spec) => {
+                self.accept(Some(queue), id, settings, spec, changes);
+            }
             StateCommand::Cancel(id) => {
                 if let Some(Job::Open(_)) = self.jobs.get(&id) {
                     self.end(id, JobStatus::Cancelled, changes);
@@ -204,6 +214,7 @@
 
     fn accept(
         &mut self,
+        queue: Option<QueuePlace>,
         id: JobId,
         settings: QueueSettings,
         spec: JobSpec,
@@ -215,6 +226,9 @@
         let job = OpenJob::new(settings, spec);
         let empty = job.tasks.iter().all(Vec::is_empty);
         self.jobs.insert(id, Job::Open(Box::new(job)));
+        if let Some(queue) = queue {
+            self.queues.insert(id, queue);
+        }
         changes.push(StateChange::Accepted(id));
         if empty {
             self.end(id, JobStatus::Completed, changes);
@@ -264,10 +278,20 @@
 
     fn end(&mut self, id: JobId, status: JobStatus, changes: &mut Vec<StateChange>) {
         self.crashes.retain(|task, _| task.job != id);
+        self.queues.remove(&id);
         self.jobs.insert(id, Job::Ended(status));
         changes.push(StateChange::Ended(id, status));
     }
 
+    /// Returns true if the queue accepted the job, which has these settings. A job whose queue is
+    /// not known belongs to the queues with the same settings.
+    pub(crate) fn is_of_queue(&self, id: JobId, settings: &QueueSettings, queue: &Queue) -> bool {
+        match self.queues.get(&id) {
+            Some(place) => (&place.host, &place.prefix) == (&queue.host, &queue.prefix),
+            None => *settings == queue.settings,
+        }
+    }
+
     pub(crate) fn open_job(&self, id: JobId) -> Option<&OpenJob> {
         match self.jobs.get(&id) {
             Some(Job::Open(job)) => Some(job),
--- a/src/dispatch/room.rs
+++ b/src/dispatch/room.rs
@@ -71,7 +71,10 @@
     ) -> bool {
         let task_bytes = task_bytes(command);
         let extra = len.saturating_mul(2).saturating_add(task_bytes);
-        let is_new = matches!(command, StateCommand::Config(_) | StateCommand::Accept(..));
+        let is_new = matches!(
+            command,
+            StateCommand::Config(_) | StateCommand::Accept(..) | StateCommand::AcceptFor(..)
+        );
         if is_new && !self.fits(raft, batched.saturating_add(extra)) {
             if self.wanted.is_none() {
                 events::ROOM_SHORT.log(format_args!(
@@ -129,7 +132,8 @@
 }
 
 fn task_bytes(command: &StateCommand) -> usize {
-    let StateCommand::Accept(_, _, spec) = command else {
+    let (StateCommand::Accept(_, _, spec) | StateCommand::AcceptFor(_, _, _, spec)) = command
+    else {
         return 0;
     };
     let counts = spec.steps.iter().map(|step| step.count as usize);
--- a/src/dispatch/spec.rs
+++ b/src/dispatch/spec.rs
@@ -161,6 +161,23 @@
     pub settings: QueueSettings,
 }
 
+impl Queue {
+    /// What tells the queue apart from all others, whatever its settings are.
+    pub(crate) fn place(&self) -> QueuePlace {
+        QueuePlace {
+            host: self.host.clone(),
+            prefix: self.prefix.clone(),
+        }
+    }
+}
+
+/// The host name and the path prefix that select a queue.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct QueuePlace {
+    pub(crate) host: String,
+    pub(crate) prefix: String,
+}
+
 /// Settings of a queue, copied into each of its jobs when the job is accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueSettings {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -50,11 +50,9 @@
     }
 }
 
-/// A snapshot of a version that recorded no crashes of backend servers.
-#[test]
-fn a_snapshot_without_crashes_is_read() {
-    // No configuration, nothing evacuated, the agent "a", no job, five entries applied.
-    let data = Bytes::from_static(&[0, 0, 1, 1, b'a', 0, 0, 5]);
+/// True if an instance starts on a disk with a snapshot of these bytes.
+fn reads_snapshot(data: Vec<u8>) -> bool {
+    let data = Bytes::from(data);
     let position = Position {
         term: Term(2),
         index: Index(5),
@@ -77,7 +75,24 @@
     let times = ReplicaTimes {
         keep: Millis(1_000),
     };
-    assert!(Replica::new(raft, times).is_ok());
+    Replica::new(raft, times).is_ok()
+}
+
+/// No configuration, nothing evacuated, the agent "a", no job, five entries applied.
+const OLDEST_SNAPSHOT: [u8; 8] = [0, 0, 1, 1, b'a', 0, 0, 5];
+
+/// A snapshot of a version that recorded no crashes of backend servers.
+#[test]
+fn a_snapshot_without_crashes_is_read() {
+    assert!(reads_snapshot(OLDEST_SNAPSHOT.to_vec()));
+}
+
+/// A snapshot of a version that recorded crashes, but not the queues of jobs.
+#[test]
+fn a_snapshot_without_queues_is_read() {
+    // One chunk with one crash: a run 9 of task 2 of step 1 of job 7.
+    let crashes = [1, 1, 7, 1, 2, 1, 9, 1];
+    assert!(reads_snapshot([&OLDEST_SNAPSHOT[..], &crashes].concat()));
 }
 
 #[test]
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -269,6 +269,49 @@
     assert_eq!(group.ask(&queue), CallReply::Pending(5));
 }
 
+/// Two queues with equal settings, the first of which is sent to `service`.
+fn two_queues(version: u64, service: &str) -> Call {
+    let mut config = config(version);
+    let mut other = config.queues[0].clone();
+    other.prefix = "/other/".to_owned();
+    config.queues.push(other);
+    service.clone_into(&mut config.queues[0].settings.service);
+    Call::PutConfig(Some(config))
+}
+
+/// Jobs that wait are counted for the queue that accepted them, whatever its settings are by now.
+#[test]
+fn jobs_are_counted_that_were_accepted_under_other_settings_of_their_queue() {
+    let mut group = TestGroup::new(100);
+    assert_eq!(
+        group.ask(&Call::Evacuate("dc0".to_owned(), true)),
+        CallReply::Done
+    );
+    assert_eq!(group.ask(&two_queues(2, "desk")), CallReply::Done);
+    for id in 1..=5 {
+        assert_eq!(
+            group.ask(&submit(JobId(id), job(1, 100, false))),
+            CallReply::Done
+        );
+    }
+    let query = |path: &str| Call::Client {
+        host: "desk.example".to_owned(),
+        path: path.to_owned(),
+        action: ClientAction::Query,
+    };
+    assert_eq!(group.ask(&query("/other/")), CallReply::Pending(0));
+    assert_eq!(group.ask(&two_queues(3, "bench")), CallReply::Done);
+    assert_eq!(
+        group.ask(&submit(JobId(6), job(1, 100, false))),
+        CallReply::Done
+    );
+    assert_eq!(group.ask(&query("/jobs/")), CallReply::Pending(6));
+    group.kill(group.leader());
+    group.run(3_000);
+    assert_eq!(group.ask(&query("/jobs/")), CallReply::Pending(6));
+    assert_eq!(group.ask(&query("/other/")), CallReply::Pending(0));
+}
+
 #[test]
 fn a_failed_run_that_two_leaders_record_counts_once() {
     // The former leader records the end, and is killed before the agent learns of it. The new
