--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -17,7 +17,7 @@
 const HOLD_MARGIN: Millis = Millis(50);
 /// A call without an answer is executed within this time or not at all. The users' protocol speaks
 /// of seconds.
-const MAX_CALL_DELAY: Millis = Millis(15_000);
+pub(crate) const MAX_CALL_DELAY: Millis = Millis(15_000);
 
 impl ServerAgent {
     pub(crate) fn call_start(
@@ -74,6 +74,9 @@
         let run_owners = self.runs.iter().map(|(_, agent_run)| agent_run.owner);
         let limiting_ends = self.ends.iter().filter(|end| end.limits_lease());
         let owners = run_owners.chain(limiting_ends.map(|end| end.owner));
+        // Ends that are not listed yet may be those of stored jobs' tasks.
+        let has_unknown_ends = self.may_have_more_ends && self.listed_under.is_none();
+        let owners = owners.chain(has_unknown_ends.then_some(Owner::Group));
         let grant_expiry = |owner: Owner| {
             let dispatcher = self.dispatchers.get(&owner);
             dispatcher.map_or(Millis(0), |dispatcher| dispatcher.grant_expires_at)
@@ -125,13 +128,18 @@
     /// The new incarnation does not know of earlier stops and would execute such a start when it
     /// arrives late.
     pub(crate) fn stop_unanswered(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
-        self.unanswered_starts
-            .retain(|(at, ..)| now.since(*at) < MAX_CALL_DELAY);
+        self.forget_old_starts(now);
         for (_, task, run) in self.unanswered_starts.clone() {
             self.call_stop(now, task, run, out);
         }
     }
 
+    /// Forgets the starts without an answer that can't be executed any more.
+    pub(crate) fn forget_old_starts(&mut self, now: Millis) {
+        self.unanswered_starts
+            .retain(|(at, ..)| now.since(*at) < MAX_CALL_DELAY);
+    }
+
     pub(crate) fn call_stop(
         &mut self,
         now: Millis,
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -14,6 +14,9 @@
 const CRASH_AGE: Millis = Millis(45);
 const DOWN_TIME: Millis = Millis(3_000);
 
+/// Longest list of ends in an answer to a hold call.
+const MAX_LISTED_ENDS: usize = 500;
+
 #[derive(Debug, Clone, Copy)]
 struct ActiveRun {
     started_at: Millis,
@@ -56,6 +59,8 @@
     pub deadly: Vec<TaskId>,
     /// Age at which they do; at 0 the start call is not answered.
     pub crash_age: Millis,
+    /// It never comes back after a crash.
+    pub is_lost: bool,
     /// When it is back after a crash; it is down until then.
     down_until: Option<Millis>,
     /// It refuses all connections until then, but runs on.
@@ -96,6 +101,7 @@
             failures_to_come: 0,
             deadly: Vec::new(),
             crash_age: CRASH_AGE,
+            is_lost: false,
             down_until: None,
             refuses_until: Millis(0),
             slow_clock_percent: 0,
@@ -148,7 +154,7 @@
 
     /// Crashes if a deadly task has run for long enough, and comes back when it is time.
     fn crash_if_due(&mut self, now: Millis) {
-        if self.down_until.is_some_and(|until| now >= until) {
+        if !self.is_lost && self.down_until.is_some_and(|until| now >= until) {
             self.down_until = None;
         }
         let kills = |(key, active): (&(TaskId, RunId), &ActiveRun)| {
@@ -170,6 +176,17 @@
         self.running.len()
     }
 
+    /// Number of ends that the agent has not acknowledged.
+    pub fn end_count(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Runs up to `count` of the tests' tasks at a time.
+    pub fn enlarge(&mut self, count: u32) {
+        self.capacity.cpu = 1_000 * count;
+        self.capacity.memory = 10 * count;
+    }
+
     fn finish(&mut self, now: Millis, key: (TaskId, RunId), outcome: RunOutcome) {
         self.running.remove(&key);
         self.last_end_number += 1;
@@ -326,7 +343,8 @@
                 .iter()
                 .map(|((task, run), active)| (*task, *run, percent(active)))
                 .collect(),
-            ended: self.ends.clone(),
+            ended: self.ends.iter().take(MAX_LISTED_ENDS).copied().collect(),
+            may_have_more_ends: self.ends.len() >= MAX_LISTED_ENDS,
         }
     }
 }
