Rank by urgency, and send the expected length of a run before its start

Cause: Demand::rank ignored priority, counted arrivals of the entry itself (which differ between entries), and did not prefer jobs that had begun.

Change: Urgency { class, cost } in load/want.rs; classes are begun, in time, late, overdue; the cost follows a queue's share of recent arrivals, its priority (1 / (1 + p)) and the job's remaining work, spread by the job's id. One job in eight of each queue has no cost. AgentOrder::Want and AgentOrder::Expect are new last variants; agents keep the expected length with the run. Want is not sent yet.

The effect on uneven entries is not measured yet.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -455,8 +455,11 @@
                     }
                     return;
                 }
-                self.runs
-                    .insert((task, run), AgentRun::starting(owner, need, now));
+                let dispatcher = self.dispatchers.get_mut(&owner);
+                let length = dispatcher.and_then(|d| d.take_length(task, run));
+                let mut starting = AgentRun::starting(owner, need, now);
+                starting.length = length;
+                self.runs.insert((task, run), starting);
                 self.usage_report_due = true;
                 self.call_start(now, task, run, payload, out);
             }
@@ -479,6 +482,12 @@
                 self.stop(now, (task, run), out);
             }
             AgentOrder::Blame(evidence) => self.pass_evidence(now, evidence, out),
+            AgentOrder::Want(_) => {}
+            AgentOrder::Expect { task, run, length } => {
+                if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
+                    dispatcher.expected_run = Some((task, run, length));
+                }
+            }
         }
     }
 
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -33,6 +33,8 @@
     pub(crate) phase: RunPhase,
     /// When the run entered its phase, or when the last stop was sent.
     pub(crate) changed_at: Millis,
+    /// Expected duration on an average worker, if its dispatcher sent it.
+    pub(crate) length: Option<Millis>,
     /// Progress in percent.
     pub(crate) percent: u32,
     /// The backend server is known to have started it.
@@ -54,6 +56,7 @@
             need,
             phase: RunPhase::Starting,
             changed_at: now,
+            length: None,
             percent: 0,
             known_started: false,
             listed: false,
@@ -71,6 +74,7 @@
             need: Resources::default(),
             phase: RunPhase::Running,
             changed_at: now,
+            length: None,
             percent: 0,
             known_started: true,
             listed: true,
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -6,7 +6,8 @@
 use super::bulkhead::Bulkheads;
 use super::guard::{Guards, JobGuard};
 use super::live::{LiveJob, Outlook, TaskPhase};
-use super::load::demand::{Demand, Rank};
+use super::load::demand::Demand;
+use super::load::want::Urgency;
 use super::placing::MissedTask;
 use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
 use super::reports::{order_stop, send_recorded};
@@ -75,9 +76,9 @@
     pub(crate) by_session: Table<SessionId, WorkerId>,
     pub(crate) jobs: Table<JobId, LiveJob>,
     // Jobs with tasks to start, most urgent first.
-    pub(crate) waiting: Vec<(Rank, JobId)>,
+    pub(crate) waiting: Vec<(Urgency, JobId)>,
     // The last waiting job that was looked at.
-    pub(crate) last_looked: Option<(Rank, JobId)>,
+    pub(crate) last_looked: Option<(Urgency, JobId)>,
     // Tasks that found no worker in the present pass.
     pub(crate) missed: Vec<MissedTask>,
     // True if a waiting task may find a worker that it did not find in the last pass.
@@ -208,7 +209,7 @@
         if self.waiting.iter().any(|(_, known)| *known == id) {
             return;
         }
-        let row = (self.demand.rank(now, job), id);
+        let row = (self.demand.rank(now, id, job), id);
         let at = self.waiting.partition_point(|other| *other <= row);
         self.waiting.insert(at, row);
     }
@@ -371,7 +372,7 @@
     /// job could still end in time.
     pub(crate) fn blocks_useful_jobs(&self, now: Millis, id: JobId) -> bool {
         let has_waiting_tasks = self.jobs.get(&id).is_some_and(LiveJob::has_ready);
-        // Jobs are ranked by outlook first, so the first one shows whether any waiting job can
+        // Overdue jobs are ranked last, so the first one shows whether any waiting job can
         // still end in time.
         let first_job = self
             .waiting
@@ -427,7 +428,7 @@
         let (jobs, demand) = (&self.jobs, &self.demand);
         for (rank, id) in &mut self.waiting {
             if let Some(job) = jobs.get(id) {
-                *rank = demand.rank(now, job);
+                *rank = demand.rank(now, *id, job);
             }
         }
         self.waiting.sort_unstable();
--- a/src/dispatch/dispatcher_link.rs
+++ b/src/dispatch/dispatcher_link.rs
@@ -44,6 +44,8 @@
     pub(crate) expected_runs: Vec<(TaskId, RunId)>,
     /// The usage of other dispatchers that was last reported to it.
     pub(crate) reported_usage: Option<Resources>,
+    /// The run that it will order next, and how long that takes on an average worker.
+    pub(crate) expected_run: Option<(TaskId, RunId, Millis)>,
 }
 
 impl DispatcherLink {
@@ -58,6 +60,14 @@
         self.connected = true;
         self.has_inventory = false;
         self.reported_usage = None;
+        self.expected_run = None;
+    }
+
+    /// The expected duration of a run on an average worker, if it was sent with the order.
+    pub(crate) fn take_length(&mut self, task: TaskId, run: RunId) -> Option<Millis> {
+        let expected = self.expected_run.take();
+        let same = expected.filter(|(t, r, _)| (*t, *r) == (task, run));
+        same.map(|(_, _, length)| length)
     }
 
     pub(crate) fn disconnect(&mut self) {
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -5,7 +5,7 @@
 use super::bulkhead::{Compartment, used_by_others};
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId, RUNS_PER_MS};
 use super::live::{LiveJob, LiveTask, TaskPhase};
-use super::load::demand::Rank;
+use super::load::want::Urgency;
 use super::spec::{JobDefinition, JobId, RunId, TaskId};
 use super::wire::{AcceptorMessage, AgentOrder};
 use super::worker::{PlacedRun, Worker, WorkerId};
@@ -87,7 +87,7 @@
         // Jobs that fit nowhere may fill the front for good, so the rest of the pass goes on where
         // the last one ended.
         let mut skipped: Vec<_> = waiting.collect();
-        let is_done = |row: &(Rank, JobId)| self.last_looked.is_some_and(|last| *row <= last);
+        let is_done = |row: &(Urgency, JobId)| self.last_looked.is_some_and(|last| *row <= last);
         let start = skipped.partition_point(is_done);
         let start = if start < skipped.len() { start } else { 0 };
         let mut rest = skipped.split_off(start).into_iter();
@@ -104,8 +104,8 @@
         &mut self,
         now: Millis,
         evacuated: &[String],
-        rows: &mut impl Iterator<Item = (Rank, JobId)>,
-        left: &mut Vec<(Rank, JobId)>,
+        rows: &mut impl Iterator<Item = (Urgency, JobId)>,
+        left: &mut Vec<(Urgency, JobId)>,
         out: &mut Vec<DispatchOutput>,
     ) {
         let mut misses = 0;
@@ -115,6 +115,10 @@
             if self.place_job(now, evacuated, id, out) {
                 continue;
             }
+            let rank = self
+                .jobs
+                .get(&id)
+                .map_or(rank, |j| self.demand.rank(now, id, j));
             left.push((rank, id));
             let found_none = out.len() == before && self.missed.len() > searches;
             if found_none && !self.holds_suspect(id) {
@@ -236,6 +240,14 @@
                 worker.other_usage.cpu,
                 placed.expected.0
             ));
+            let length = nominal;
+            let expect = AgentOrder::Expect {
+                task: key,
+                run,
+                length,
+            };
+            let expect = AcceptorMessage::Order(expect);
+            out.push(DispatchOutput::Message(session, expect));
             let order = AgentOrder::Start {
                 life,
                 task: key,
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::{Call, CallReply};
+use super::load::want::Want;
 use super::replicated_state::RunEnd;
 use super::spec::{JobId, OperatorConfig, Resources, RunId, TaskId};
 use crate::control::log::Term;
@@ -218,6 +219,17 @@
     },
     /// Pass evidence against a queue on to all dispatchers.
     Blame(Evidence),
+    /// Tasks that wait for capacity of the worker; replaces what the sender had asked before.
+    Want(Vec<Want>),
+    /// How long a run is expected to take; sent just before the order to start it.
+    Expect {
+        /// The task of the run.
+        task: TaskId,
+        /// The run.
+        run: RunId,
+        /// Expected duration on an average worker.
+        length: Millis,
+    },
 }
 
 /// A backend server and its worker, as known to the agent.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 pub use crate::dispatch::dispatcher_link::Owner;
 pub use crate::dispatch::guard::JobGuard;
 pub use crate::dispatch::late_calls::SentAfter;
+pub use crate::dispatch::load::want::{Urgency, UrgencyClass, Want};
 pub use crate::dispatch::replica::{
     Replica, ReplicaError, ReplicaInput, ReplicaOutput, ReplicaTimes,
 };
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -7,7 +7,7 @@
 use fulmardrift::{
     AgentOrder, AgentReport, Body, DiskId, Durable, Evidence, Index, JobId, LogEntry, Millis,
     Payload, Position, Raft, RaftTiming, Record, Replica, ReplicaId, ReplicaTimes, Resources,
-    RunId, Snapshot, SnapshotChunk, TaskId, Term, Voter,
+    RunId, Snapshot, SnapshotChunk, TaskId, Term, Urgency, UrgencyClass, Voter, Want,
 };
 
 /// The encoding of a value, as hexadecimal digits.
@@ -98,6 +98,22 @@
     };
     assert_eq!(encode(&AgentOrder::Blame(evidence.clone())), "040101730203");
     assert_eq!(encode(&AgentReport::Blamed(evidence)), "090101730203");
+    let want = Want {
+        need: used,
+        urgency: Urgency {
+            class: UrgencyClass::Late,
+            cost: 300,
+        },
+        length: Millis(50),
+        wait: Millis(70),
+    };
+    assert_eq!(
+        encode(&AgentOrder::Want(vec![want])),
+        "0501e8070a0002ac023246"
+    );
+    let length = Millis(50);
+    let expect = AgentOrder::Expect { task, run, length };
+    assert_eq!(encode(&expect), "060701020932");
     let unreachable = AgentReport::Unreachable {
         life: 1,
         runs: Vec::new(),
