Give free capacity to the most urgent task of all entries, with look ahead

Cause: agents offered a free slot to entries in turn, so that an entry with more callers served fewer of its jobs, priority ended at the entry, and nothing was kept for a task that needs several slots.

Change: a dispatcher asks two random agents for each waiting task (asking.rs, AgentOrder::Want); an agent reserves what becomes free for the most urgent task that fits (load/offers.rs, agent_offers.rs), tells only that dispatcher, and lets the offer lapse after 12 ms. If the most urgent does not fit, capacity is kept for it by the expected ends of runs, and others may use it if they end before. Without wants, reports in turn stay as they were. Stored jobs ask as well, as their leader would get nothing else while entries ask. The filter of choose_worker is a type of its own, so that only workers are asked that it would accept.

A wide job of priority 0 beside long ones starts all 16 tasks within one run time; a task of a whole worker starts, which it did not within 2.5 s.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -16,6 +16,7 @@
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::ejection::Ejection;
 use super::guard::{Guards, JobGuard};
+use super::load::offers::Offers;
 use super::server_call::{CallId, ServerCall, ServerHeartbeat, ServerReply};
 use super::spec::{Resources, RunId, TaskId};
 use super::times::Times;
@@ -150,6 +151,8 @@
     pub(crate) last_used: Resources,
     pub(crate) usage_changed_at: Millis,
     pub(crate) last_informed: Option<Owner>,
+    // What dispatchers ask for, and what is reserved for them.
+    pub(crate) offers: Offers,
     pub(crate) answer_times: AnswerTimes,
     pub(crate) ejection: Ejection,
     pub(crate) crash_log: CrashLog,
@@ -199,6 +202,7 @@
             last_used: Resources::default(),
             usage_changed_at: Millis(0),
             last_informed: None,
+            offers: Offers::default(),
             answer_times: AnswerTimes::new(),
             ejection: Ejection::default(),
             crash_log: CrashLog::default(),
@@ -227,6 +231,7 @@
                 if let Some(dispatcher) = self.dispatchers.get_mut(&Owner::Entry(life)) {
                     dispatcher.disconnect();
                 }
+                self.offers.forget(Owner::Entry(life));
             }
             ServerAgentInput::Granted(owner, until) => {
                 if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
@@ -247,6 +252,7 @@
             ServerAgentInput::Tick => self.tick(now, out),
         }
         self.note_usage(now);
+        self.settle_offers(now, out);
         self.report_usage(now, out);
     }
 
@@ -375,6 +381,7 @@
         self.listed_under = None;
         self.ejection = Ejection::default();
         self.answer_times = AnswerTimes::new();
+        self.offers = Offers::default();
         self.report_to_informed(&AgentReport::Server(None), out);
         for (_, dispatcher) in self.dispatchers.iter_mut() {
             dispatcher.has_inventory = false;
@@ -460,6 +467,7 @@
                 let mut starting = AgentRun::starting(owner, need, now);
                 starting.length = length;
                 self.runs.insert((task, run), starting);
+                self.offers.use_offer(owner, need);
                 self.usage_report_due = true;
                 self.call_start(now, task, run, payload, out);
             }
@@ -482,7 +490,7 @@
                 self.stop(now, (task, run), out);
             }
             AgentOrder::Blame(evidence) => self.pass_evidence(now, evidence, out),
-            AgentOrder::Want(_) => {}
+            AgentOrder::Want(wants) => self.on_wants(now, owner, &wants),
             AgentOrder::Expect { task, run, length } => {
                 if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
                     dispatcher.expected_run = Some((task, run, length));
@@ -523,7 +531,9 @@
         if !is_allowed || is_evacuated || is_down || self.lease_end(now).is_none() {
             return Some(Denial::Closed);
         }
-        let fits = server.capacity.fits(self.used(None), need);
+        let mut used = self.used(None);
+        used.add(self.offers.reserved(Some(owner)));
+        let fits = server.capacity.fits(used, need);
         (!fits).then_some(Denial::Room)
     }
 
--- a/src/dispatch/agent_links.rs
+++ b/src/dispatch/agent_links.rs
@@ -35,6 +35,7 @@
             .or_insert_with(Owner::Group, DispatcherLink::default);
         let Some(term) = term else {
             dispatcher.disconnect();
+            self.offers.forget(Owner::Group);
             return;
         };
         if term < self.term {
@@ -42,6 +43,7 @@
         }
         events::LEADER_FOUND.log(format_args!("term={}", term.0));
         dispatcher.connect(term.0);
+        self.offers.forget(Owner::Group);
         self.term = term;
         // The inventory must come from a hold call with the new leader's token: from then on the
         // backend server refuses the calls of former leaders.
@@ -62,6 +64,7 @@
             .or_insert_with(owner, DispatcherLink::default);
         dispatcher.connect(life);
         dispatcher.expected_runs = expected_runs.to_vec();
+        self.offers.forget(owner);
         events::ENTRY_FOUND.log(format_args!("life={life} claimed={}", expected_runs.len()));
         self.assign_inherited();
         if self.listed_under.is_none() {
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -246,6 +246,14 @@
             let rows = by_owner.or_insert_with(end.owner, Vec::new);
             rows.push((end.number, end.end));
         }
+        if first_new < self.ends.len() && !self.offers.is_idle() {
+            // Whose runs ended must know first what is reserved for others, or it would order again.
+            self.offers.set_due();
+            self.settle_offers(now, out);
+            for (owner, _) in by_owner.iter() {
+                self.report_usage_to(*owner, out);
+            }
+        }
         for (owner, ends) in by_owner.iter() {
             let ends = ends.clone();
             self.report(*owner, AgentReport::Ends { life, ends }, out);
@@ -266,6 +274,7 @@
                 .runs
                 .or_insert_with(key, || AgentRun::inherited(*run, now));
             agent_run.percent = *percent;
+            agent_run.listed_at = sent_at;
             agent_run.known_started = true;
             agent_run.listed = true;
             if matches!(agent_run.phase, RunPhase::Starting | RunPhase::Unanswered) {
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -37,6 +37,8 @@
     pub(crate) length: Option<Millis>,
     /// Progress in percent.
     pub(crate) percent: u32,
+    /// As of when the backend server listed that progress.
+    pub(crate) listed_at: Millis,
     /// The backend server is known to have started it.
     pub(crate) known_started: bool,
     /// The present incarnation of the backend server has listed it.
@@ -58,6 +60,7 @@
             changed_at: now,
             length: None,
             percent: 0,
+            listed_at: now,
             known_started: false,
             listed: false,
             inherited: false,
@@ -76,6 +79,7 @@
             changed_at: now,
             length: None,
             percent: 0,
+            listed_at: now,
             known_started: true,
             listed: true,
             inherited: true,
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -5,6 +5,7 @@
 use super::agent_run::{AgentRun, RunPhase};
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::guard::JobGuard;
+use super::load::offers::Offers;
 use super::spec::{Resources, RunId, RunOutcome, TaskId};
 use super::wire::AgentReport;
 use crate::core::clock::Millis;
@@ -37,6 +38,7 @@
 impl ServerAgent {
     pub(crate) fn tick(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
         self.stop_lapsed(now, out);
+        self.drop_lapsed_wants(now);
         self.crash_log.tick(now);
         if self.has_left && self.runs.is_empty() {
             self.discard_server(now, Loss::Left, out);
@@ -145,6 +147,7 @@
         ));
         self.log_all_over(now, &"LeaseLapsed");
         self.runs = Table::default();
+        self.offers = Offers::default();
         self.void_ends();
         self.listed_under = None;
         for (owner, dispatcher) in self.dispatchers.iter_mut() {
@@ -223,7 +226,12 @@
         let places = self.free_places(due);
         let offers = std::mem::replace(&mut self.least_free, places);
         let is_unclaimed = now.since(self.usage_changed_at) >= UNCLAIMED_AFTER;
-        let offers = if is_unclaimed { due } else { offers };
+        let offers = match (is_unclaimed, self.offers.is_idle()) {
+            (true, _) => due,
+            (false, true) => offers,
+            // Those who ask are offered it.
+            (false, false) => 0,
+        };
         offered.truncate(offers.min(max_reports));
         informed.truncate(max_reports - offered.len());
         self.usage_report_due = due > offered.len() + informed.len();
@@ -241,6 +249,7 @@
         if used != self.last_used {
             self.last_used = used;
             self.usage_changed_at = now;
+            self.offers.set_due();
         }
         if self.least_free > 0 {
             self.least_free = self.free_places(self.least_free);
@@ -269,13 +278,13 @@
     /// True if a dispatcher was last told of more usage by others than there is now.
     fn frees_room(&self, owner: Owner) -> bool {
         let reported = self.dispatchers.get(&owner).and_then(|d| d.reported_usage);
-        reported.is_some_and(|reported| reported.exceeds(self.used(Some(owner))))
+        reported.is_some_and(|reported| reported.exceeds(self.usage_beside(owner)))
     }
 
     /// Dispatchers that last heard of another usage than the present one, in order.
     fn dispatchers_to_inform(&self) -> Vec<Owner> {
         let is_outdated = |owner: Owner, dispatcher: &DispatcherLink| {
-            dispatcher.has_inventory && dispatcher.reported_usage != Some(self.used(Some(owner)))
+            dispatcher.has_inventory && dispatcher.reported_usage != Some(self.usage_beside(owner))
         };
         let dispatchers = self.dispatchers.iter();
         dispatchers
@@ -286,7 +295,7 @@
 
     /// Reports to one dispatcher what the others' runs use, unless it has that figure already.
     pub(crate) fn report_usage_to(&mut self, owner: Owner, out: &mut Vec<ServerAgentOutput>) {
-        let used = self.used(Some(owner));
+        let used = self.usage_beside(owner);
         if let Some(dispatcher) = self.dispatchers.get_mut(&owner)
             && dispatcher.has_inventory
             && dispatcher.reported_usage != Some(used)
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -3,6 +3,7 @@
 //! The leader of the control group dispatches the stored jobs; each entry dispatches the transient
 //! jobs of its callers.
 
+use super::asking::Asked;
 use super::bulkhead::Bulkheads;
 use super::guard::{Guards, JobGuard};
 use super::live::{LiveJob, Outlook, TaskPhase};
@@ -81,6 +82,8 @@
     pub(crate) last_looked: Option<(Urgency, JobId)>,
     // Tasks that found no worker in the present pass.
     pub(crate) missed: Vec<MissedTask>,
+    // What agents are asked for on behalf of waiting tasks.
+    pub(crate) asked: Asked,
     // True if a waiting task may find a worker that it did not find in the last pass.
     pub(crate) may_place: bool,
     // When the first worker that reported no free resources is tried again.
@@ -117,6 +120,7 @@
             waiting: Vec::new(),
             last_looked: None,
             missed: Vec::new(),
+            asked: Asked::new(id),
             may_place: false,
             retry_at: None,
             awaited: Vec::new(),
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -131,6 +131,16 @@
         }
     }
 
+    /// When the outlook changes next; an overdue job's stays, and is looked at again after a while.
+    pub(crate) fn outlook_until(&self, now: Millis) -> Millis {
+        let factor = match self.outlook(now) {
+            Outlook::InTime => 1,
+            Outlook::Late => LATE_FACTOR,
+            Outlook::Overdue => return now + self.objective,
+        };
+        (self.received_at + Millis(self.objective.0 * factor)) - self.critical_path + Millis(1)
+    }
+
     /// Estimated work of all tasks, in core-milliseconds.
     pub(crate) fn total_work(&self) -> f64 {
         let steps = self.definition.steps.iter();
--- a/src/dispatch/load/mod.rs
+++ b/src/dispatch/load/mod.rs
@@ -4,4 +4,5 @@
 //! import none of these.
 
 pub(crate) mod demand;
+pub(crate) mod offers;
 pub(crate) mod want;
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -6,8 +6,8 @@
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId, RUNS_PER_MS};
 use super::live::{LiveJob, LiveTask, TaskPhase};
 use super::load::want::Urgency;
-use super::spec::{JobDefinition, JobId, RunId, TaskId};
-use super::wire::{AcceptorMessage, AgentOrder};
+use super::spec::{JobDefinition, JobId, QueueKey, Resources, RunId, Step, TaskId};
+use super::wire::{AcceptorMessage, AgentOrder, Server};
 use super::worker::{PlacedRun, Worker, WorkerId};
 use crate::core::clock::Millis;
 use crate::events;
@@ -76,6 +76,7 @@
     ) {
         self.update_bulkheads(now, evacuated);
         if self.waiting.is_empty() || !self.may_find_worker(now) {
+            self.ask_for_capacity(now, evacuated, out);
             return;
         }
         if let DispatcherId::Entry(_) = self.id {
@@ -97,6 +98,7 @@
         left.extend(rest);
         self.waiting = left;
         self.missed.clear();
+        self.ask_for_capacity(now, evacuated, out);
     }
 
     /// Places jobs in turn until too many found no worker; adds those with tasks left to `left`.
@@ -214,7 +216,8 @@
         if let Some(former) = &former {
             self.log_restart(now, key, run, id, former);
         }
-        let nominal = Millis(scale(job.estimate(key), self.duration_ratio(job)));
+        let nominal = self.nominal_length(job, key);
+        self.asked.note_start(key, id);
         let suspect = self.suspects.runs_apart(now, key);
         let worker = &mut self.workers[id.0];
         let placed = PlacedRun {
@@ -282,6 +285,37 @@
         self.workers.iter().any(usable)
     }
 
+    /// The expected duration of a task on an average worker.
+    pub(crate) fn nominal_length(&self, job: &LiveJob, key: TaskId) -> Millis {
+        Millis(scale(job.estimate(key), self.duration_ratio(job)))
+    }
+
+    /// The key of a job's queue if workers are divided between queues; few jobs need it otherwise.
+    pub(crate) fn queue_if_divided(&self, definition: &JobDefinition) -> Option<QueueKey> {
+        (!self.bulkheads.is_empty()).then(|| definition.settings.key())
+    }
+
+    /// Which workers may run a task; `queue` is from `queue_if_divided`.
+    pub(crate) fn worker_filter<'a>(
+        &'a self,
+        now: Millis,
+        evacuated: &'a [String],
+        definition: &'a JobDefinition,
+        queue: &'a Option<QueueKey>,
+        key: TaskId,
+    ) -> Option<WorkerFilter<'a>> {
+        let step = definition.step(key)?;
+        let compartment = queue.as_ref().and_then(|q| self.compartment_of(q, step));
+        Some(WorkerFilter {
+            evacuated,
+            service: &definition.settings.service,
+            step,
+            key,
+            compartment,
+            is_suspect: self.suspects.runs_apart(now, key),
+        })
+    }
+
     /// Returns the worker on which the task is expected to end first, or `None` if it fits on none.
     /// Ejected workers are passed over unless there are too many of them: the others could not carry
     /// the load then, or the cause lies elsewhere.
@@ -293,10 +327,9 @@
         key: TaskId,
         avoid: Option<WorkerId>,
     ) -> Option<WorkerId> {
-        let step = definition.step(key)?;
-        let is_suspect = self.suspects.runs_apart(now, key);
-        let queue = (!self.bulkheads.is_empty()).then(|| definition.settings.key());
-        let compartment = queue.as_ref().and_then(|q| self.compartment_of(q, step));
+        let queue = self.queue_if_divided(definition);
+        let filter = self.worker_filter(now, evacuated, definition, &queue, key)?;
+        let (step, is_suspect) = (filter.step, filter.is_suspect);
         let mut best: Option<(f64, WorkerId)> = None;
         let mut best_ejected: Option<(f64, WorkerId)> = None;
         let mut ejected = 0;
@@ -307,27 +340,10 @@
             };
             let mut used = worker.used;
             used.add(worker.other_usage);
-            let fits = server.capacity.fits(used, step.need);
-            let is_evacuated = evacuated.binary_search(&server.data_centre).is_ok();
-            let has_label = step
-                .label
-                .as_ref()
-                .is_none_or(|l| server.labels.contains(l));
-            if !fits || is_evacuated || !has_label || server.service != definition.settings.service
-            {
-                continue;
-            }
-            if step.max_per_worker > 0 && worker.count_of_step(key) >= step.max_per_worker as usize
-            {
-                continue;
-            }
-            if compartment.as_ref().is_some_and(|c| !c.contains(worker)) {
+            if !filter.accepts(worker, server, used) {
                 continue;
             }
             let has_suspects = worker.suspects > 0 && worker.has_suspect_beside(key);
-            if is_suspect && has_suspects {
-                continue;
-            }
             let mut cost = worker.pace;
             if has_suspects {
                 cost += SUSPECT_COST;
@@ -345,7 +361,7 @@
             // Among otherwise equal workers, prefers the one with the most free CPU.
             let full = f64::from(used.cpu) / f64::from(server.capacity.cpu.max(1));
             cost += full * if is_suspect { SUSPECT_COST } else { FULL_COST };
-            if let Some(Compartment::Of(_)) = compartment {
+            if let Some(Compartment::Of(_)) = filter.compartment {
                 // A crash would end the runs of other jobs, and hide which job caused it.
                 cost += used_by_others(worker, server.capacity, key) * SUSPECT_COST;
             }
@@ -366,6 +382,38 @@
     }
 }
 
+/// Which workers may run a task, whatever they cost.
+#[derive(Debug)]
+pub(crate) struct WorkerFilter<'a> {
+    evacuated: &'a [String],
+    service: &'a str,
+    step: &'a Step,
+    key: TaskId,
+    compartment: Option<Compartment<'a>>,
+    is_suspect: bool,
+}
+
+impl WorkerFilter<'_> {
+    /// True if a worker of which `used` is taken may run the task.
+    pub(crate) fn accepts(&self, worker: &Worker, server: &Server, used: Resources) -> bool {
+        let (step, key) = (self.step, self.key);
+        let has_label = step
+            .label
+            .as_ref()
+            .is_none_or(|l| server.labels.contains(l));
+        let is_spread =
+            step.max_per_worker > 0 && worker.count_of_step(key) >= step.max_per_worker as usize;
+        let compartment = self.compartment.as_ref();
+        server.capacity.fits(used, step.need)
+            && self.evacuated.binary_search(&server.data_centre).is_err()
+            && has_label
+            && server.service == self.service
+            && !is_spread
+            && compartment.is_none_or(|c| c.contains(worker))
+            && !(self.is_suspect && worker.suspects > 0 && worker.has_suspect_beside(key))
+    }
+}
+
 /// Multiplies a duration; the result stays far below 2^53 ms.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn scale(time: Millis, by: f64) -> u64 {
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -185,6 +185,7 @@
         worker.has_inventory = true;
         // A report follows if it still is.
         worker.ejected = false;
+        self.asked.resend(id);
         self.may_place = true;
         let gone: Vec<_> = worker
             .runs
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -135,11 +135,15 @@
 
     /// The backend server, if it accepts new runs.
     pub(crate) fn available_server(&self, now: Millis) -> Option<&Server> {
+        self.able_server(now).filter(|_| now >= self.full_until)
+    }
+
+    /// The backend server, if it accepts new runs once it has free resources.
+    pub(crate) fn able_server(&self, now: Millis) -> Option<&Server> {
         let able =
             self.has_inventory && self.enrolled && !self.is_down() && self.is_responsive(now);
         let server = self.server.as_ref()?;
-        (able && !server.leaving && now >= self.paused_until && now >= self.full_until)
-            .then_some(server)
+        (able && !server.leaving && now >= self.paused_until).then_some(server)
     }
 
     /// Returns true if the agent has a session and a message arrived recently.
--- a/src/events.rs
+++ b/src/events.rs
@@ -123,6 +123,12 @@
     SERVER_LEFT = 514 Info "server-left";
     /// A run is over for its agent.
     RUN_OVER = 515 Info "run-over";
+    /// An agent reserves capacity for a dispatcher that asked for it.
+    OFFERED = 516 Info "capacity-offered";
+    /// An agent keeps capacity free until a task that does not fit yet does.
+    KEPT = 517 Info "capacity-kept";
+    /// A dispatcher did not use the capacity that an agent had reserved for it.
+    OFFER_LAPSED = 518 Info "offer-lapsed";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
@@ -192,6 +198,8 @@
     PAUSED = 632 Warn "paused";
     /// A call that may have been given up by its caller waited until that would be known.
     LATE_CALL = 633 Info "late-call";
+    /// A dispatcher asked an agent for capacity, or no longer does.
+    WANTED = 634 Debug "capacity-wanted";
     /// The demo found a promise of the dispatcher broken.
     BROKEN = 900 Error "promise-broken";
 }
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -94,6 +94,8 @@
     /// Number of start orders, and of those that were denied for want of room.
     pub start_orders: u64,
     pub denied_for_room: u64,
+    /// Number of messages in which entries asked agents for capacity.
+    pub want_messages: u64,
     /// Number of calls to backend servers.
     pub server_calls: u64,
     /// Time between announcements of a backend server, in milliseconds. Must be a multiple of
@@ -192,6 +194,7 @@
             usage_reports: 0,
             start_orders: 0,
             denied_for_room: 0,
+            want_messages: 0,
             server_calls: 0,
             announcement_interval_ms: HEARTBEAT_INTERVAL_MS,
         };
@@ -504,6 +507,7 @@
                 AcceptorMessage::Order(order) => {
                     let is_start = matches!(order, AgentOrder::Start { .. });
                     self.start_orders += u64::from(is_start);
+                    self.want_messages += u64::from(matches!(order, AgentOrder::Want(_)));
                     Some(ServerAgentInput::Order(owner, order))
                 }
                 AcceptorMessage::Recorded { life, upto } => {
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -44,7 +44,7 @@
     pub started_at: u64,
     pub data_centre: String,
     pub capacity: Resources,
-    /// Duration of each run.
+    /// Duration of each run whose payload is not a number of milliseconds.
     pub work: Millis,
     /// While true, runs make no progress and do not end.
     pub is_hung: bool,
@@ -234,10 +234,11 @@
             ServerCallKind::Start {
                 task,
                 run,
+                payload,
                 lease_expires_at,
-                ..
             } => {
-                let reply = self.start(now, (*task, *run), *lease_expires_at);
+                let work = payload.parse().map_or(self.work, Millis);
+                let reply = self.start(now, (*task, *run), work, *lease_expires_at);
                 self.crash_if_due(now);
                 if self.is_down() {
                     return ServerReply::Disconnected;
@@ -274,7 +275,13 @@
         *highest = (*highest).max(run);
     }
 
-    fn start(&mut self, now: Millis, key: (TaskId, RunId), expires_at: Millis) -> ServerReply {
+    fn start(
+        &mut self,
+        now: Millis,
+        key: (TaskId, RunId),
+        work: Millis,
+        expires_at: Millis,
+    ) -> ServerReply {
         if self.running.contains_key(&key) {
             return ServerReply::Started {
                 clock: self.clock(now),
@@ -294,7 +301,7 @@
         self.revoke(key.0, key.1);
         let active = ActiveRun {
             started_at: now,
-            ends_at: now + self.work,
+            ends_at: now + work,
         };
         self.running.insert(key, active);
         self.spans.push(Span {
@@ -314,8 +321,8 @@
 
     fn hold_reply(&self, now: Millis) -> HoldReply {
         let percent = |active: &ActiveRun| {
-            let done =
-                self.clock_of_work(now).since(active.started_at).0 * 100 / self.work.0.max(1);
+            let work = active.ends_at.since(active.started_at).0.max(1);
+            let done = self.clock_of_work(now).since(active.started_at).0 * 100 / work;
             u32::try_from(if self.is_hung { 0 } else { done.min(99) }).unwrap_or(0)
         };
         HoldReply {
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -9,6 +9,8 @@
 mod deadly_queue;
 mod deadly_tasks;
 mod grey_hang_many_entries;
+mod look_ahead;
+mod order_across_entries;
 mod overload_of_many_entries;
 mod shrinking_room;
 mod slow_answers;
