--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -34,8 +34,12 @@
     pub(crate) phase: RunPhase,
     /// When the run entered its phase, or when the last stop was sent.
     pub(crate) changed_at: Millis,
+    /// Expected duration on an average worker, if its dispatcher sent it.
+    pub(crate) length: Option<Millis>,
     /// Progress in percent.
     pub(crate) percent: u32,
+    /// As of when the backend server listed that progress.
+    pub(crate) listed_at: Millis,
     /// The backend server is known to have started it.
     pub(crate) known_started: bool,
     /// The present incarnation of the backend server has listed it.
@@ -59,7 +63,9 @@
             need,
             phase: RunPhase::Starting,
             changed_at: now,
+            length: None,
             percent: 0,
+            listed_at: now,
             known_started: false,
             listed: false,
             listed_as_of: Millis(0),
@@ -78,7 +84,9 @@
             need: Resources::default(),
             phase: RunPhase::Running,
             changed_at: now,
+            length: None,
             percent: 0,
+            listed_at: now,
             known_started: true,
             listed: true,
             listed_as_of: now,
