Admission, Retry-After computed from the backlog, and whole jobs

Cause: nothing was refused on arrival for want of capacity; jobs waited for 45% of their caller's time or until they were overdue, began task by task, and were then given up as unknown. Every refusal asked for one second.

Change: an entry observes per service what is started while work waits, what arrives and what waits, and refuses a job on arrival or at a tick when it can't be expected to end in useful time: before its caller's deadline, and within its objective while more work arrives than is started. A run that is longer than the caller's remaining time is refused at once. Queues and sizes keep a share. A job of several tasks begins only if all can be expected to end in useful time; a begun one is given up only when the rest can't end before its deadline. Retry-After follows from the backlog, from what was refused before and from the spare rate, and is spread. Parked jobs enter in order of urgency, wait for 45% of their caller's time at most, and until an agent's first usage report an entry counts its share of that worker.

--- a/src/dispatch/broadcast.rs
+++ b/src/dispatch/broadcast.rs
@@ -50,11 +50,7 @@
         let entries = self.entries();
         if self.sent_entries != entries {
             self.sent_entries.clone_from(&entries);
-            self.broadcast(
-                &AcceptorMessage::Entries(entries),
-                |initiator| !is_entry(initiator),
-                out,
-            );
+            self.broadcast(&AcceptorMessage::Entries(entries), |_| true, out);
         }
     }
 
@@ -107,10 +103,12 @@
             return;
         }
         out.push(ReplicaOutput::Message(session, self.evacuated_message()));
-        if !is_entry(initiator) {
-            let entries = AcceptorMessage::Entries(self.entries());
-            out.push(ReplicaOutput::Message(session, entries));
-        } else if let Some(message) = self.config_message() {
+        // Entries need it as well: they count their share of a worker by it.
+        let entries = AcceptorMessage::Entries(self.entries());
+        out.push(ReplicaOutput::Message(session, entries));
+        if is_entry(initiator)
+            && let Some(message) = self.config_message()
+        {
             out.push(ReplicaOutput::Message(session, message));
         }
     }
--- a/src/dispatch/call_expiry.rs
+++ b/src/dispatch/call_expiry.rs
@@ -1,7 +1,8 @@
 //! How a call router ends calls that were not answered in time, and those that can't be of use.
 
-use super::call::CallReply;
-use super::call_router::{CallRoute, CallRouter, CallRouterOutput, OpenCall, RETRY_AFTER};
+use super::call::{Call, CallReply, ClientAction};
+use super::call_router::{CallRoute, CallRouter, CallRouterOutput, OpenCall};
+use super::load::admission::Refused;
 use crate::core::clock::Millis;
 use crate::events;
 
@@ -42,22 +43,32 @@
                 now.since(open.received_at).0,
                 self.leader
             ));
-            self.end_hold(now, token, &open, "expired");
-            self.remove_waiting_call(now, token, &open);
             let reply = if may_have_run {
                 CallReply::Unknown
             } else {
-                CallReply::Refused(RETRY_AFTER)
+                CallReply::Refused(self.retry_after_of(now, &open))
             };
+            self.end_hold(now, token, &open, "expired");
+            self.remove_waiting_call(now, token, &open);
             out.push(CallRouterOutput::Answer(token, reply));
         }
         let deadlines = self.open_calls.iter().map(|(_, open)| open.deadline);
         self.next_deadline = deadlines.min().unwrap_or(Millis(u64::MAX));
     }
 
-    /// Refuses local jobs that can no longer end in time to be of use, so that their callers learn
-    /// it at once: those that have not started, and, while useful jobs wait for resources, also
-    /// those that have. Also refuses calls that waited too long for the first configuration.
+    fn retry_after_of(&mut self, now: Millis, open: &OpenCall) -> Millis {
+        match open.route {
+            CallRoute::Local(id) => self.retry_after_waiting(now, id),
+            CallRoute::Parked(_) | CallRoute::Held { .. } | CallRoute::Forward { .. } => {
+                self.retry_unknown()
+            }
+        }
+    }
+
+    /// Refuses local jobs that can no longer be expected to end in time to be of use, so that their
+    /// callers learn it at once: those that have not started, and, while useful jobs wait for
+    /// resources, also those that have. Also refuses calls that waited too long for the first
+    /// configuration.
     pub(super) fn refuse_useless(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
         let mut refused = Vec::new();
         for (token, open) in self.open_calls.iter() {
@@ -65,29 +76,46 @@
             // Each new job waits for `order_wait` before its tasks may be ordered.
             let give_up_after = Millis(allowed * GIVE_UP_PERCENT / 100) + self.order_wait();
             let waited = now.since(open.received_at);
-            let is_useless = match &open.route {
+            let reason = match &open.route {
+                CallRoute::Local(id) if self.dispatcher.may_have_run(*id) => self
+                    .dispatcher
+                    .blocks_useful_jobs(now, *id)
+                    .then_some("begun-too-late"),
+                CallRoute::Local(_) if waited >= give_up_after => Some("not-offered"),
                 CallRoute::Local(id) => {
-                    let late = self.dispatcher.is_overdue(now, *id) || waited >= give_up_after;
-                    late && !self.dispatcher.may_have_run(*id)
-                        || self.dispatcher.blocks_useful_jobs(now, *id)
+                    let refusal = self.dispatcher.waiting_refusal(now, *id);
+                    refusal.map(Refused::name)
+                }
+                CallRoute::Parked(call) => {
+                    let limit = if is_transient(call) {
+                        MAX_PARKED.min(give_up_after)
+                    } else {
+                        MAX_PARKED
+                    };
+                    (waited >= limit).then_some("no-configuration")
                 }
-                CallRoute::Parked(_) => waited >= MAX_PARKED,
-                CallRoute::Held { .. } => waited >= give_up_after,
-                CallRoute::Forward { .. } => false,
+                CallRoute::Held { .. } => (waited >= give_up_after).then_some("late-call"),
+                CallRoute::Forward { .. } => None,
             };
-            if is_useless {
-                refused.push((*token, waited));
+            if let Some(reason) = reason {
+                refused.push((*token, waited, reason));
             }
         }
-        for (token, waited) in refused {
+        for (token, waited, reason) in refused {
             if let Some(open) = self.open_calls.remove(&token) {
                 let reply = match open.route {
                     CallRoute::Parked(_) => CallReply::NoConfig,
                     CallRoute::Local(id) if self.dispatcher.may_have_run(id) => CallReply::Unknown,
-                    _ => CallReply::Refused(RETRY_AFTER),
+                    CallRoute::Local(id) => {
+                        let after = self.retry_after_waiting(now, id);
+                        self.dispatcher.record_withdrawn(now, id);
+                        CallReply::Refused(after)
+                    }
+                    _ => CallReply::Refused(self.retry_after_of(now, &open)),
                 };
+                metrics::counter!("fulmardrift_refused", "why" => reason).increment(1);
                 events::REFUSED.log(format_args!(
-                    "call={token} way={:?} waited_ms={} reply={reply:?}",
+                    "call={token} way={:?} why={reason} waited_ms={} reply={reply:?}",
                     open.route, waited.0
                 ));
                 self.end_hold(now, token, &open, "refused");
@@ -97,3 +125,11 @@
         }
     }
 }
+
+/// True for a job that is not stored. Its caller may send it elsewhere when it is refused.
+fn is_transient(call: &Call) -> bool {
+    let Call::Client { action, .. } = call else {
+        return false;
+    };
+    matches!(action, ClientAction::Submit(Some(spec)) if spec.transient)
+}
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -6,10 +6,16 @@
 
 use std::sync::Arc;
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
 use super::call::{Call, CallReply, ClientAction};
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId};
 use super::guard::JobGuard;
 use super::late_calls::{ArrivalGaps, SentAfter, TurnGaps};
+use super::live::LiveJob;
+use super::load::demand::Rank;
+use super::load::retry_after::{retry_after, spread};
 use super::readiness::Readiness;
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
@@ -24,8 +30,12 @@
 /// Delay before a call is sent again after an instance replied that it does not lead, in
 /// milliseconds.
 const RESEND_AFTER: Millis = Millis(40);
-/// Retry delay given to callers whose call was not accepted, in milliseconds.
-pub(super) const RETRY_AFTER: Millis = Millis(1_000);
+/// Retry delay given to callers whose call is refused for another reason than want of capacity, in
+/// milliseconds: another entry can take it, or none can.
+const RETRY_AFTER: Millis = Millis(1_000);
+/// Mean retry delay where the backlog does not tell when capacity is back, in milliseconds: backend
+/// servers and the control group restart within seconds.
+const RETRY_UNKNOWN: Millis = Millis(2_000);
 /// The entry's dispatcher holds no stored jobs, so it has no ended jobs to keep.
 const KEEP_NOTHING: Millis = Millis(0);
 
@@ -57,6 +67,8 @@
     Config(Arc<OperatorConfig>),
     /// Index in the log, and the data centres that are evacuated as of that index.
     Evacuated(u64, Vec<String>),
+    /// Number of entries, as the group's leader counts them.
+    Entries(usize),
     /// A message on an agent's session.
     Message(SessionId, InitiatorMessage),
     /// An agent's session has closed.
@@ -138,6 +150,7 @@
     pub(super) gaps: TurnGaps,
     pub(super) arrivals: ArrivalGaps,
     actions: Vec<DispatchOutput>,
+    rng: Pcg64Mcg,
 }
 
 impl CallRouter {
@@ -162,6 +175,7 @@
             gaps: TurnGaps::new(now),
             arrivals: ArrivalGaps::new(now),
             actions: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(life),
         }
     }
 
@@ -230,6 +244,7 @@
             CallRouterInput::Message(session, message) => {
                 self.on_agent_message(now, session, message, out);
             }
+            CallRouterInput::Entries(entries) => self.dispatcher.entries = entries.max(1),
             CallRouterInput::Closed(session) => self.dispatcher.agent_disconnected(session),
             CallRouterInput::Tick => self.tick(now, out),
         }
@@ -243,8 +258,10 @@
         // After a pause of the process, this may come before the tick.
         self.expire(now, out);
         if self.end_turn(now, out) {
+            let before = self.actions.len();
             self.dispatcher
                 .place_jobs(now, wall_clock, &self.evacuated, &mut self.actions);
+            self.dispatcher.note_starts(now, &self.actions[before..]);
         }
         self.execute_actions(now, out);
     }
@@ -359,14 +376,17 @@
         true
     }
 
-    /// Routes the calls that arrived before the first configuration.
+    /// Routes the calls that arrived before the first configuration, the most urgent jobs first.
     fn unpark(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
         let parked = self
             .open_calls
             .iter()
             .filter(|(_, o)| matches!(o.route, CallRoute::Parked(_)));
-        let parked: Vec<_> = parked.map(|(token, _)| *token).collect();
-        for token in parked {
+        let mut parked: Vec<_> = parked
+            .map(|(token, open)| (self.parked_rank(now, open), *token))
+            .collect();
+        parked.sort_unstable();
+        for (_, token) in parked {
             if let Some(open) = self.open_calls.remove(&token)
                 && let CallRoute::Parked(call) = open.route
             {
@@ -382,6 +402,25 @@
         }
     }
 
+    /// Rank of the job of a parked call; `None` for other calls.
+    fn parked_rank(&self, now: Millis, open: &OpenCall) -> Option<Rank> {
+        let config = self.config.as_ref()?;
+        let CallRoute::Parked(Call::Client { host, path, action }) = &open.route else {
+            return None;
+        };
+        let ClientAction::Submit(Some(spec)) = action else {
+            return None;
+        };
+        let Target::Job(queue, id) = routes::find(config, host, path) else {
+            return None;
+        };
+        let job = OpenJob::new(queue.settings.clone(), spec.clone());
+        let live = self
+            .dispatcher
+            .new_job(open.received_at, open.deadline, id, &job);
+        Some(self.dispatcher.rank(now, &live))
+    }
+
     /// Submits a transient job, whose end will answer the call. Returns a reply if the call can be
     /// answered at once.
     fn submit(
@@ -415,18 +454,19 @@
         {
             events::REFUSED.log(format_args!("job={id} call={token} queue_isolated=true"));
             let job = OpenJob::new(settings.clone(), spec);
-            self.dispatcher.record_refused(now, &job);
-            return Some(CallReply::Refused(RETRY_AFTER));
+            let live = self
+                .dispatcher
+                .new_job(incoming.received_at, incoming.deadline, id, &job);
+            self.dispatcher.demand.record_arrival(now, &live);
+            return Some(CallReply::Refused(self.retry_unknown()));
         }
-        if !self.dispatcher.has_job(id) {
-            let job = OpenJob::new(settings.clone(), spec);
-            let tasks: usize = job.tasks.iter().map(Vec::len).sum();
-            events::ACCEPTED.log(format_args!(
-                "job={id} call={token} tasks={tasks} stored=false wait_ms={}",
-                incoming.deadline.since(now).0
-            ));
-            self.dispatcher.submit(now, incoming.received_at, id, &job);
+        if !self.dispatcher.has_job(id)
+            && let Some(reply) =
+                self.admit(now, &incoming, id, OpenJob::new(settings.clone(), spec))
+        {
+            return Some(reply);
         }
+        self.dispatcher.extend_deadline(id, incoming.deadline);
         self.waiting_calls.or_insert_with(id, Vec::new).push(token);
         let open = OpenCall {
             route: CallRoute::Local(id),
@@ -438,6 +478,71 @@
         None
     }
 
+    /// Adds a job, or returns the reply if it can't be served in useful time.
+    fn admit(
+        &mut self,
+        now: Millis,
+        incoming: &IncomingCall,
+        id: JobId,
+        job: OpenJob,
+    ) -> Option<CallReply> {
+        let token = incoming.token;
+        let mut live = self
+            .dispatcher
+            .new_job(incoming.received_at, incoming.deadline, id, &job);
+        let tasks: usize = job.tasks.iter().map(Vec::len).sum();
+        let wait_ms = incoming.deadline.since(now).0;
+        let (verdict, wait) = self
+            .dispatcher
+            .judge_arrival(now, &self.evacuated, &mut live);
+        if let Some(wait) = wait {
+            metrics::histogram!("fulmardrift_expected_wait_ms").record(wait.as_f64());
+        }
+        let expected = wait.map(|wait| wait.0);
+        match verdict {
+            // Runs of an earlier submission are out, so that "not run" would not be true.
+            _ if live.may_have_run() => {}
+            Ok(reason) => {
+                metrics::counter!("fulmardrift_admitted", "why" => reason.name()).increment(1);
+                events::ACCEPTED.log(format_args!(
+                    "job={id} call={token} tasks={tasks} stored=false wait_ms={wait_ms} why={} \
+                     expected_wait_ms={expected:?}",
+                    reason.name()
+                ));
+            }
+            Err(reason) => {
+                metrics::counter!("fulmardrift_refused", "why" => reason.name()).increment(1);
+                let after = self.retry_after(now, &live);
+                events::REFUSED.log(format_args!(
+                    "job={id} call={token} tasks={tasks} wait_ms={wait_ms} why={} \
+                     expected_wait_ms={expected:?} retry_ms={}",
+                    reason.name(),
+                    after.0
+                ));
+                return Some(CallReply::Refused(after));
+            }
+        }
+        self.dispatcher.submit(now, id, live);
+        None
+    }
+
+    /// When the caller of a job that is refused for want of capacity should come back.
+    fn retry_after(&mut self, now: Millis, job: &LiveJob) -> Millis {
+        retry_after(self.dispatcher.ahead_of(now, job), &mut self.rng)
+    }
+
+    /// The same for a job that waits here.
+    pub(super) fn retry_after_waiting(&mut self, now: Millis, id: JobId) -> Millis {
+        let ahead = self.dispatcher.jobs.get(&id);
+        let ahead = ahead.map(|job| self.dispatcher.ahead_of(now, job));
+        retry_after(ahead.unwrap_or_default(), &mut self.rng)
+    }
+
+    /// When a caller should come back if the backlog does not tell.
+    pub(super) fn retry_unknown(&mut self) -> Millis {
+        spread(RETRY_UNKNOWN, &mut self.rng)
+    }
+
     /// Removes a call from those that wait for its job, and abandons a job without waiting calls.
     pub(super) fn remove_waiting_call(&mut self, now: Millis, token: u64, open: &OpenCall) {
         let CallRoute::Local(id) = open.route else {
@@ -533,6 +638,7 @@
 
     fn tick(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
         self.expire(now, out);
+        self.dispatcher.update_load(now);
         self.refuse_useless(now, out);
         self.forward(now, out);
         self.dispatcher.tick(now, KEEP_NOTHING, &mut self.actions);
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -3,9 +3,10 @@
 //! The leader of the control group dispatches the stored jobs; each entry dispatches the transient
 //! jobs of its callers.
 
+use super::admitting::LoadState;
 use super::bulkhead::Bulkheads;
 use super::guard::{Guards, JobGuard};
-use super::live::{LiveJob, Outlook, TaskPhase};
+use super::live::{LiveJob, TaskPhase};
 use super::load::demand::{Demand, Rank};
 use super::placing::MissedTask;
 use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
@@ -93,6 +94,9 @@
     // Mean ratio of measured to estimated duration, by service and priority of the queue.
     pub(crate) duration_ratios: Table<(String, u32), f64>,
     pub(crate) demand: Demand,
+    pub(crate) load: LoadState,
+    // Number of entries, as the group's leader counts them.
+    pub(crate) entries: usize,
     pub(crate) suspects: Suspects,
     pub(crate) bulkheads: Bulkheads,
     // Latest run id of an entry; for the leader of the group, the part of it below the term.
@@ -123,6 +127,8 @@
             ended: Vec::new(),
             duration_ratios: Table::default(),
             demand: Demand::default(),
+            load: LoadState::default(),
+            entries: 1,
             suspects: Suspects::default(),
             bulkheads: Bulkheads::default(),
             last_run: 0,
@@ -208,7 +214,7 @@
         if self.waiting.iter().any(|(_, known)| *known == id) {
             return;
         }
-        let row = (self.demand.rank(now, job), id);
+        let row = (self.rank(now, job), id);
         let at = self.waiting.partition_point(|other| *other <= row);
         self.waiting.insert(at, row);
     }
@@ -318,10 +324,23 @@
         self.log_runs_out(now, id);
     }
 
-    /// Adds a transient job. Runs of an earlier submission that are still being stopped must end
-    /// before their tasks start again.
-    pub(crate) fn submit(&mut self, now: Millis, received_at: Millis, id: JobId, job: &OpenJob) {
+    /// Adds a transient job.
+    pub(crate) fn submit(&mut self, now: Millis, id: JobId, live: LiveJob) {
+        self.jobs.insert(id, live);
+        self.enqueue(now, id);
+    }
+
+    /// The view of a transient job that is handed in. Its tasks wait for runs of an earlier
+    /// submission that are still being stopped.
+    pub(crate) fn new_job(
+        &self,
+        received_at: Millis,
+        deadline: Millis,
+        id: JobId,
+        job: &OpenJob,
+    ) -> LiveJob {
         let mut live = LiveJob::new(job, received_at, TaskPhase::Ready, true);
+        live.deadline = deadline;
         for (at, worker) in self.workers.iter().enumerate() {
             for ((task, run), _) in worker.runs.iter() {
                 if task.job == id
@@ -332,15 +351,7 @@
                 }
             }
         }
-        self.demand.record_arrival(now, &live);
-        self.jobs.insert(id, live);
-        self.enqueue(now, id);
-    }
-
-    /// Notes that a transient job was refused on arrival. It counts as demand of its queue.
-    pub(crate) fn record_refused(&mut self, now: Millis, job: &OpenJob) {
-        let live = LiveJob::new(job, now, TaskPhase::Ready, true);
-        self.demand.record_arrival(now, &live);
+        live
     }
 
     /// Ends a transient job as failed.
@@ -361,26 +372,6 @@
         self.jobs.get(&id).is_some_and(LiveJob::may_have_run)
     }
 
-    /// Returns true if a job that starts now would end too late to be of use.
-    pub(crate) fn is_overdue(&self, now: Millis, id: JobId) -> bool {
-        let job = self.jobs.get(&id);
-        job.is_some_and(|job| job.outlook(now) == Outlook::Overdue)
-    }
-
-    /// Returns true if the job is overdue and has tasks waiting for resources with which another
-    /// job could still end in time.
-    pub(crate) fn blocks_useful_jobs(&self, now: Millis, id: JobId) -> bool {
-        let has_waiting_tasks = self.jobs.get(&id).is_some_and(LiveJob::has_ready);
-        // Jobs are ranked by outlook first, so the first one shows whether any waiting job can
-        // still end in time.
-        let first_job = self
-            .waiting
-            .first()
-            .and_then(|(_, first)| self.jobs.get(first));
-        let useful_job_waits = first_job.is_some_and(|job| job.outlook(now) != Outlook::Overdue);
-        has_waiting_tasks && useful_job_waits && self.is_overdue(now, id)
-    }
-
     /// Returns true while the job is open here.
     pub(crate) fn has_job(&self, id: JobId) -> bool {
         self.jobs.get(&id).is_some()
@@ -424,13 +415,32 @@
     }
 
     pub(crate) fn rank_all(&mut self, now: Millis) {
-        let (jobs, demand) = (&self.jobs, &self.demand);
+        let mut rows: Vec<_> = std::mem::take(&mut self.waiting);
+        for (rank, id) in &mut rows {
+            if let Some(job) = self.jobs.get(id) {
+                *rank = self.demand.rank(now, job);
+            }
+        }
+        rows.sort_unstable();
+        self.waiting = rows;
+        self.put_shares_first();
+    }
+
+    /// Puts the jobs first that were admitted for the share of their queue or size.
+    fn put_shares_first(&mut self) {
+        let Some((first, _)) = self.waiting.first().copied() else {
+            return;
+        };
+        let mut any = false;
         for (rank, id) in &mut self.waiting {
-            if let Some(job) = jobs.get(id) {
-                *rank = demand.rank(now, job);
+            if self.jobs.get(id).is_some_and(|job| job.is_due_share) {
+                *rank = first;
+                any = true;
             }
         }
-        self.waiting.sort_unstable();
+        if any {
+            self.waiting.sort_unstable();
+        }
     }
 
     pub(crate) fn forget_ended(
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -81,6 +81,11 @@
     pub(crate) started: bool,
     /// A run was lost with its worker; it is not known whether it had started.
     pub(crate) has_lost_run: bool,
+    /// When the last of its callers must be answered; the largest time for a stored job.
+    pub(crate) deadline: Millis,
+    /// It was admitted for the share of its queue or size: it comes first, and is not refused for
+    /// what it is expected to wait.
+    pub(crate) is_due_share: bool,
     /// Time allowed from `received_at` to the end, and the part of it that the critical path takes.
     objective: Millis,
     critical_path: Millis,
@@ -114,6 +119,8 @@
             received_at: now,
             started: job.has_begun(),
             has_lost_run: false,
+            deadline: Millis(u64::MAX),
+            is_due_share: false,
             critical_path,
         }
     }
@@ -131,6 +138,27 @@
         }
     }
 
+    /// End of its objective.
+    pub(crate) fn objective_at(&self) -> Millis {
+        self.received_at + self.objective
+    }
+
+    /// Estimated time from now to its end, if each task starts as soon as those before it are done.
+    pub(crate) fn critical_path(&self) -> Millis {
+        self.critical_path
+    }
+
+    /// Estimated time from now to its end for what has not been started: the longest task of the
+    /// steps with such tasks.
+    pub(crate) fn shortest_rest(&self) -> Millis {
+        let steps = self.definition.steps.iter().zip(&self.tasks);
+        let waiting = steps.filter(|(_, tasks)| tasks.iter().any(|t| t.phase == TaskPhase::Ready));
+        waiting
+            .map(|(step, _)| step.estimate)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Estimated work of all tasks, in core-milliseconds.
     pub(crate) fn total_work(&self) -> f64 {
         let steps = self.definition.steps.iter();
@@ -204,7 +232,7 @@
 }
 
 /// Estimated work of one task, in core-milliseconds.
-fn task_work(step: &Step) -> f64 {
+pub(crate) fn task_work(step: &Step) -> f64 {
     f64::from(step.need.cpu) / CPU_UNIT * step.estimate.as_f64().max(1.0)
 }
 
--- a/src/dispatch/load/mod.rs
+++ b/src/dispatch/load/mod.rs
@@ -3,4 +3,7 @@
 //! These modules work on plain data. The dispatcher, the call router and the agent call them; they
 //! import none of these.
 
+pub(crate) mod admission;
 pub(crate) mod demand;
+pub(crate) mod retry_after;
+pub(crate) mod whole_jobs;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! its tasks to agents. A transient job is not stored; the entry that accepted it dispatches its
 //! tasks. This module accesses no disk, socket or clock.
 
+pub(crate) mod admitting;
 pub(crate) mod agent;
 pub(crate) mod agent_calls;
 pub(crate) mod agent_crashes;
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -52,7 +52,7 @@
         }
     }
 
-    fn covers(&self, job: &LiveJob, key: TaskId) -> bool {
+    pub(crate) fn covers(&self, job: &LiveJob, key: TaskId) -> bool {
         let steps = (self.definition.step(self.key), job.definition.step(key));
         let (Some(missed), Some(step)) = steps else {
             return false;
@@ -151,6 +151,9 @@
         id: JobId,
         out: &mut Vec<DispatchOutput>,
     ) -> bool {
+        if !self.may_begin(now, evacuated, id) {
+            return false;
+        }
         let Some(mut live) = self.jobs.remove(&id) else {
             return true;
         };
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -180,9 +180,17 @@
         runs: &[(TaskId, RunId)],
         out: &mut Vec<DispatchOutput>,
     ) {
+        let agent = &self.workers[id.0].agent;
+        let assumed = server
+            .as_ref()
+            .map(|server| self.assumed_usage(agent, server));
+        let is_entry = matches!(self.id, DispatcherId::Entry(_));
         let worker = &mut self.workers[id.0];
         worker.set_server(server);
         worker.has_inventory = true;
+        if is_entry && !worker.is_usage_known {
+            worker.other_usage = assumed.unwrap_or_default();
+        }
         // A report follows if it still is.
         worker.ejected = false;
         self.may_place = true;
@@ -414,6 +422,7 @@
         match reason {
             Denial::Unwell => self.workers[id.0].record_failure(now),
             Denial::Room => {
+                self.note_denied(now, key.0);
                 self.pass_over(now, id);
                 self.release_run(now, id, key, RunProof::NotStarted(reason));
                 return;
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -76,6 +76,8 @@
     /// Resources used by this dispatcher's runs, and by those of other dispatchers.
     pub(crate) used: Resources,
     pub(crate) other_usage: Resources,
+    /// The agent has reported what other dispatchers use.
+    pub(crate) is_usage_known: bool,
     pub(crate) runs: Table<(TaskId, RunId), PlacedRun>,
     /// Number of runs here whose tasks are suspected of a crash.
     pub(crate) suspects: u32,
@@ -115,6 +117,7 @@
             server: None,
             used: Resources::default(),
             other_usage: Resources::default(),
+            is_usage_known: false,
             runs: Table::default(),
             suspects: 0,
             last_heard_at: now,
@@ -242,6 +245,7 @@
         let was_full = self.full_until > Millis(0);
         let former = std::mem::replace(&mut self.other_usage, usage);
         self.full_until = Millis(0);
+        self.is_usage_known = true;
         was_full || former.exceeds(usage)
     }
 
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -336,6 +336,9 @@
             LeaderUpdate::Message(_, AcceptorMessage::Evacuated(index, data_centres)) => {
                 Some(CallRouterInput::Evacuated(index, data_centres))
             }
+            LeaderUpdate::Message(_, AcceptorMessage::Entries(entries)) => {
+                Some(CallRouterInput::Entries(entries.len()))
+            }
             LeaderUpdate::Unchanged | LeaderUpdate::Message(..) => None,
         }
     }
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -6,6 +6,7 @@
 #[path = "../fakes/server.rs"]
 mod server;
 
+mod admission_under_overload;
 mod deadly_queue;
 mod deadly_tasks;
 mod grey_hang_many_entries;
