--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -295,6 +295,9 @@
     /// workers that all entries together count no more than there is.
     pub(crate) fn assumed_usage(&self, agent: &str, server: &Server) -> Resources {
         let entries = u32::try_from(self.entries).unwrap_or(u32::MAX).max(1);
+        if entries == 1 {
+            return Resources::default();
+        }
         let mut slot = Resources::default();
         for (_, id) in &self.waiting {
             let job = self.jobs.get(id);
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -388,6 +388,7 @@
         }
         let lapse = self.lapse_time();
         for at in 0..self.workers.len() {
+            self.workers[at].apply_first_usage(now);
             let worker = &self.workers[at];
             let silent = now.since(worker.last_granted_at) > lapse;
             if silent && !worker.runs.is_empty() {
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -137,7 +137,7 @@
             }
             AgentReport::Ends { life, ends } => self.on_ends(now, id, life, &ends, out),
             AgentReport::OtherUsage(used) => {
-                self.may_place |= self.workers[id.0].set_other_usage(used);
+                self.may_place |= self.workers[id.0].set_other_usage(now, used);
             }
             AgentReport::Ejected(ejected) => {
                 self.workers[id.0].ejected = ejected;
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -78,6 +78,8 @@
     pub(crate) other_usage: Resources,
     /// The agent has reported what other dispatchers use.
     pub(crate) is_usage_known: bool,
+    // What an agent first reported, and when that counts.
+    first_usage: Option<(Millis, Resources)>,
     pub(crate) runs: Table<(TaskId, RunId), PlacedRun>,
     /// Number of runs here whose tasks are suspected of a crash.
     pub(crate) suspects: u32,
@@ -118,6 +120,7 @@
             used: Resources::default(),
             other_usage: Resources::default(),
             is_usage_known: false,
+            first_usage: None,
             runs: Table::default(),
             suspects: 0,
             last_heard_at: now,
@@ -241,14 +244,29 @@
 
     /// Stores what other dispatchers' runs use, as the agent reported it. Returns true if more may
     /// fit than before.
-    pub(crate) fn set_other_usage(&mut self, usage: Resources) -> bool {
+    ///
+    /// A first report of less than was assumed counts a while later: it comes before the first
+    /// orders of the other entries, and goes to all of them.
+    pub(crate) fn set_other_usage(&mut self, now: Millis, usage: Resources) -> bool {
+        let is_first = !std::mem::replace(&mut self.is_usage_known, true);
+        if is_first && self.other_usage.exceeds(usage) {
+            self.first_usage = Some((now + FULL_FOR, usage));
+            return false;
+        }
+        self.first_usage = None;
         let was_full = self.full_until > Millis(0);
         let former = std::mem::replace(&mut self.other_usage, usage);
         self.full_until = Millis(0);
-        self.is_usage_known = true;
         was_full || former.exceeds(usage)
     }
 
+    /// Applies an agent's first report once it is due.
+    pub(crate) fn apply_first_usage(&mut self, now: Millis) {
+        if let Some((_, usage)) = self.first_usage.filter(|(at, _)| now >= *at) {
+            self.set_other_usage(now, usage);
+        }
+    }
+
     /// Counts a failure, and pauses the worker after several consecutive ones.
     pub(crate) fn record_failure(&mut self, now: Millis) {
         self.failures_in_a_row += 1;
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -11,6 +11,7 @@
 mod deadly_tasks;
 mod grey_hang_many_entries;
 mod overload_of_many_entries;
+mod restart_of_all;
 mod shrinking_room;
 mod slow_answers;
 mod usage_of_many_entries;
