--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -6,6 +6,7 @@
 #[path = "../fakes/server.rs"]
 mod server;
 
+mod admission_under_overload;
 mod deadly_queue;
 mod deadly_tasks;
 mod failing_workers;
@@ -13,6 +14,7 @@
 mod look_ahead;
 mod order_across_entries;
 mod overload_of_many_entries;
+mod restart_of_all;
 mod shrinking_room;
 mod slow_answers;
 mod usage_of_many_entries;
