Control: no change is acknowledged before the group has had its voters

Change: until a committed entry has named 2 x losses + 1 voters, the leader holds configurations and evacuations back, four at most and for 1.5 s, and then refuses them to be sent again; stored jobs are refused at once. A change in force is answered as before.

a_group_of_five_that_loses_two_founders_disks_serves stays red: it loses the disks before anything was acknowledged, and that still ends the group.

--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -334,6 +334,19 @@
         (&self.snapshot.voters, self.snapshot.position.index)
     }
 
+    /// Largest number of voters that the snapshot, or an entry up to `last`, names.
+    pub(crate) fn most_voters(&self, last: Index) -> usize {
+        let entries = self.voter_entries.iter().filter(|index| **index <= last);
+        let in_entries = entries.filter_map(|index| match &self.get(*index)?.payload {
+            Payload::Voters(voters) => Some(voters.len()),
+            Payload::Noop | Payload::Command(_) => None,
+        });
+        in_entries
+            .max()
+            .unwrap_or(0)
+            .max(self.snapshot.voters.len())
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
--- a/src/control/quorum.rs
+++ b/src/control/quorum.rs
@@ -12,6 +12,13 @@
         })
     }
 
+    /// True once the log held so many voters in a committed entry, as far back as its snapshot.
+    #[must_use]
+    pub fn has_had_voters(&self, count: usize) -> bool {
+        self.log.most_voters(self.commit_index) >= count
+            || !self.is_enabled(RaftGuard::EnoughVoters)
+    }
+
     /// True when `disk` is the one that the log names for this voter.
     pub(crate) fn is_configured_disk(&self, voter: Voter, disk: Option<DiskId>) -> bool {
         disk == Some(voter.disk) || (disk.is_some() && !self.is_enabled(RaftGuard::DiskIdentity))
--- a/src/control/raft.rs
+++ b/src/control/raft.rs
@@ -102,6 +102,8 @@
     /// The wait after a restart is skipped only when all voters have restarted and heard from no
     /// leader.
     AllLeaderless,
+    /// Changes are accepted only once the group has had the voters that the tolerated losses need.
+    EnoughVoters,
     /// The number of voters stays at the target size: a newcomer replaces a silent voter.
     TargetSize,
     /// Only a newcomer that still answers becomes a voter.
--- a/src/dispatch/replica.rs
+++ b/src/dispatch/replica.rs
@@ -18,7 +18,7 @@
 use super::worker::SessionId;
 use crate::control::follower_watch::FollowerWatch;
 use crate::control::leader_watch::LeaderWatch;
-use crate::control::log::{Index, LogEntry, ReplicaId, Snapshot, Term, committed_command};
+use crate::control::log::{Index, LogEntry, Payload, ReplicaId, Snapshot, Term, committed_command};
 use crate::control::raft::{Raft, RaftInput, RaftOutput};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -105,6 +105,10 @@
     pub(crate) follower_watch: FollowerWatch,
     pub(crate) guards: Guards,
     pub(crate) room: Room,
+    // Changes that come before the group has had its voters, and until when each is held back.
+    pub(crate) held: VecDeque<(Millis, Origin, Call)>,
+    // Number of voters that the group must have had before it accepts changes.
+    pub(crate) needed_voters: usize,
 }
 
 impl Replica {
@@ -133,6 +137,8 @@
             follower_watch: FollowerWatch::default(),
             guards: Guards::default(),
             room: Room::default(),
+            held: VecDeque::new(),
+            needed_voters: 0,
         })
     }
 
@@ -144,6 +150,14 @@
         self
     }
 
+    /// Accepts changes only once the group has had the voters that so many losses at a time need:
+    /// with fewer, what was acknowledged might be lost with the tolerated number of disks.
+    #[must_use]
+    pub fn with_tolerated_losses(mut self, losses: usize) -> Self {
+        self.needed_voters = 2 * losses + 1;
+        self
+    }
+
     /// Turns a rule off, so that a checker can show that the rule is needed.
     pub fn disable(&mut self, guard: JobGuard) {
         self.guards.disable(guard);
@@ -155,10 +169,10 @@
         &self.raft
     }
 
-    /// Returns true if no command waits to be proposed or committed.
+    /// Returns true if no command is held back, or waits to be proposed or committed.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.batch.is_empty()
+        self.pending.is_empty() && self.batch.is_empty() && self.held.is_empty()
     }
 
     /// Processes one input at time `now` and appends the resulting actions to `out`. Commands are
@@ -218,6 +232,7 @@
         // An agent must learn what allows it to start a run before it receives the order.
         self.broadcast_status(out);
         self.broadcast_changes(out);
+        self.release_held(now, out);
         if self.raft.holds_lease(now)
             && let Some(dispatcher) = &mut self.dispatcher
         {
@@ -406,6 +421,9 @@
     ) -> Result<(), ReplicaError> {
         let index = entry.position.index;
         self.state.applied = index.0;
+        if let Payload::Voters(voters) = &entry.payload {
+            self.state.most_voters = self.state.most_voters.max(voters.len());
+        }
         let Some(command) = committed_command(entry) else {
             return Ok(());
         };
--- a/src/dispatch/replica_calls.rs
+++ b/src/dispatch/replica_calls.rs
@@ -12,6 +12,12 @@
 /// Retry delay given to callers whose call was not accepted, in milliseconds.
 pub(crate) const RETRY_AFTER: Millis = Millis(1_000);
 
+/// How long a change is held back that comes before the group has had its voters: within the time
+/// that operators wait for an answer, and longer than a group needs for its first voters.
+const HOLD_TIME: Millis = Millis(1_500);
+/// Most changes that are held back, as each may be large.
+const MAX_HELD: usize = 4;
+
 impl Replica {
     pub(crate) fn on_call(
         &mut self,
@@ -24,6 +30,10 @@
             out.push(reply_message(origin, CallReply::NotLeader));
             return;
         }
+        if self.is_too_early(&call) {
+            self.hold(now, origin, call, out);
+            return;
+        }
         let reply = match call {
             Call::Client { host, path, action } => {
                 self.on_client_call(origin, &host, &path, action)
@@ -50,6 +60,62 @@
         }
     }
 
+    /// True once the group has had the voters that the tolerated losses need. It stays true when
+    /// the voters become fewer, as when one that is gone makes place for a newcomer: a machine that
+    /// never comes back must not block changes.
+    fn has_enough_voters(&self) -> bool {
+        self.state.most_voters >= self.needed_voters || self.raft.has_had_voters(self.needed_voters)
+    }
+
+    /// True for an operator's change that is not in force yet, before the group has had the voters
+    /// that it needs.
+    fn is_too_early(&self, call: &Call) -> bool {
+        let is_new = match call {
+            Call::PutConfig(Some(config)) => {
+                let current = self.state.config.as_ref();
+                current.is_none_or(|current| current.version < config.version)
+            }
+            Call::Evacuate(data_centre, evacuated) => {
+                self.state.evacuated.contains(data_centre) != *evacuated
+            }
+            Call::PutConfig(None) | Call::GetConfig | Call::Client { .. } => false,
+        };
+        is_new && !self.has_enough_voters()
+    }
+
+    /// Holds a change back until the group has had its voters, or refuses it if too many are held.
+    fn hold(&mut self, now: Millis, origin: Origin, call: Call, out: &mut Vec<ReplicaOutput>) {
+        if self.held.len() >= MAX_HELD {
+            out.push(reply_message(origin, self.refuse_early()));
+            return;
+        }
+        self.held.push_back((now + HOLD_TIME, origin, call));
+    }
+
+    /// Goes on with the changes that are held back, or answers them.
+    pub(crate) fn release_held(&mut self, now: Millis, out: &mut Vec<ReplicaOutput>) {
+        let leads = self.dispatcher.is_some() && self.raft.holds_lease(now);
+        for (until, origin, call) in std::mem::take(&mut self.held) {
+            if !leads || self.has_enough_voters() {
+                self.on_call(now, origin, call, out);
+            } else if now >= until {
+                out.push(reply_message(origin, self.refuse_early()));
+            } else {
+                self.held.push_back((until, origin, call));
+            }
+        }
+    }
+
+    /// Answers a change that comes too early: nothing of it is stored, and it is to be sent again.
+    fn refuse_early(&self) -> CallReply {
+        events::REFUSED.log(format_args!(
+            "way=voters voters={} needed={}",
+            self.raft.voters().len(),
+            self.needed_voters
+        ));
+        CallReply::Refused(RETRY_AFTER)
+    }
+
     pub(crate) fn put_config(
         &mut self,
         origin: Origin,
@@ -95,6 +161,9 @@
                     // The entry did not have a configuration yet, so it forwarded a transient job.
                     return Some(CallReply::NotLeader);
                 }
+                if !self.has_enough_voters() {
+                    return Some(self.refuse_early());
+                }
                 self.accept(origin, id, settings, spec);
                 None
             }
--- a/src/dispatch/replicated_state.rs
+++ b/src/dispatch/replicated_state.rs
@@ -144,19 +144,23 @@
     pub(crate) jobs: Table<JobId, Job>,
     /// Index of the last log entry that was applied.
     pub(crate) applied: u64,
-    /// The runs of open jobs' tasks on which a backend server crashed, each once. The last field:
-    /// see [`ReplicatedState::decode`].
+    /// The runs of open jobs' tasks on which a backend server crashed, each once. Missing in old
+    /// snapshots: see [`ReplicatedState::decode`].
     pub(crate) crashes: Table<TaskId, Vec<RunId>>,
+    /// Largest number of voters that the group has had; 0 if no entry since a snapshot of a former
+    /// version named any. The last field, missing in old snapshots.
+    pub(crate) most_voters: usize,
 }
 
-/// Encoding of an empty table: no chunks and no rows.
-const NO_CRASHES: [u8; 2] = [0, 0];
+/// Encoding of the fields that old snapshots lack: an empty table, which has no chunks and no rows,
+/// and no voters.
+const MISSING_FIELDS: [u8; 3] = [0, 0, 0];
 
 impl ReplicatedState {
-    /// Decodes a snapshot. One of a version that recorded no crashes ends before them, so the
-    /// encoding of none is added; where it is not needed, it is not read.
+    /// Decodes a snapshot. One of a former version ends before the last fields, so the encoding of
+    /// their defaults is added; where it is not needed, it is not read.
     pub(crate) fn decode(snapshot: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(&[snapshot, &NO_CRASHES].concat())
+        postcard::from_bytes(&[snapshot, &MISSING_FIELDS].concat())
     }
 
     /// Applies a command and appends the resulting changes to `changes`.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -151,7 +151,9 @@
         let replica = Replica::new(raft, cfg.times).map_err(|e| ControlStartError::DataState {
             message: e.to_string(),
         })?;
-        let replica = replica.with_file_bound(bound);
+        let replica = replica
+            .with_file_bound(bound)
+            .with_tolerated_losses(cfg.tolerated_losses);
         let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
         let sync_tx = tx.clone();
         let writer = start_writer(wal, move |input| {
