--- a/src/dispatch/replicated_state.rs
+++ b/src/dispatch/replicated_state.rs
@@ -147,21 +147,25 @@
     pub(crate) jobs: Table<JobId, Job>,
     /// Index of the last log entry that was applied.
     pub(crate) applied: u64,
-    /// The runs of open jobs' tasks on which a backend server crashed, each once. This field and
-    /// the next one are the last: see [`ReplicatedState::decode`].
+    /// The runs of open jobs' tasks on which a backend server crashed, each once. Missing in old
+    /// snapshots, as are the next two fields, which are the last: see [`ReplicatedState::decode`].
     pub(crate) crashes: Table<TaskId, Vec<RunId>>,
     /// The queues that accepted the open jobs, as far as they are known.
     pub(crate) queues: Table<JobId, QueuePlace>,
+    /// Largest number of voters that the group has had; 0 if no entry since a snapshot of a former
+    /// version named any.
+    pub(crate) most_voters: usize,
 }
 
-/// Encoding of two empty tables, each of no chunks and no rows.
-const EMPTY_TABLES: [u8; 4] = [0; 4];
+/// Encoding of the fields that old snapshots lack: two empty tables, each of no chunks and no rows,
+/// and no voters.
+const MISSING_FIELDS: [u8; 5] = [0; 5];
 
 impl ReplicatedState {
-    /// Decodes a snapshot. One of a version that recorded no crashes, or no queues, ends before
-    /// them, so the encoding of none is added; what of it is not needed is not read.
+    /// Decodes a snapshot. One of a former version ends before the last fields, so the encoding of
+    /// their defaults is added; where it is not needed, it is not read.
     pub(crate) fn decode(snapshot: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(&[snapshot, &EMPTY_TABLES].concat())
+        postcard::from_bytes(&[snapshot, &MISSING_FIELDS].concat())
     }
 
     /// Applies a command and appends the resulting changes to `changes`.
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -95,6 +95,18 @@
     assert!(reads_snapshot([&OLDEST_SNAPSHOT[..], &crashes].concat()));
 }
 
+/// A snapshot of a version that did not record how many voters the group has had.
+#[test]
+fn a_snapshot_without_the_number_of_voters_is_read() {
+    // Neither crashes nor queues.
+    let tables = [0, 0, 0, 0];
+    assert!(reads_snapshot([&OLDEST_SNAPSHOT[..], &tables].concat()));
+    // The present version, with five voters.
+    assert!(reads_snapshot(
+        [&OLDEST_SNAPSHOT[..], &tables, &[5]].concat()
+    ));
+}
+
 #[test]
 fn messages_keep_their_encoding() {
     let (task, run) = (task(), RunId(9));
