Agents learn and report the pace of their workers

Cause: each entry learned a worker's pace by itself, from 1.0 after each of its starts, and a run of seven times the declared time moved it by 0.15 x 5. A run of that kind was also stopped and started again elsewhere while others of its job ran, though it takes as long there.

Change: before each start an order `Expect` carries the run's expected length on an average worker. The agent keeps it with the run, learns the pace from the runs of all dispatchers (load/pace.rs), by expected length, and reports it (`Pace`, thousandths) to a dispatcher that has its inventory, and when it has changed by a tenth, at most once a second. A dispatcher sends one of length 0 after an inventory, so that it knows the pace before it orders anything. A deviation counts for half to twice the expectation. A worker's pace and its queue's duration ratio are corrected by the same bounded deviation; with two different bounds they would drift apart. A run that is slow by its job's other runs is left alone if another run has ended on time on its worker lately.

The fake backend server derives a run's progress from that run's own length instead of the length of later runs; it is the same where all are equal.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -16,6 +16,7 @@
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::ejection::Ejection;
 use super::guard::{Guards, JobGuard};
+use super::load::pace::WorkerPace;
 use super::server_call::{CallId, ServerCall, ServerHeartbeat, ServerReply};
 use super::spec::{Resources, RunId, TaskId};
 use super::times::Times;
@@ -152,6 +153,7 @@
     pub(crate) last_informed: Option<Owner>,
     pub(crate) answer_times: AnswerTimes,
     pub(crate) ejection: Ejection,
+    pub(crate) pace: WorkerPace,
     pub(crate) crash_log: CrashLog,
     // An earlier incarnation of this agent may have left runs at a backend server that has not
     // announced itself yet. Their lease has expired at this time at the latest.
@@ -201,6 +203,7 @@
             last_informed: None,
             answer_times: AnswerTimes::new(),
             ejection: Ejection::default(),
+            pace: WorkerPace::default(),
             crash_log: CrashLog::default(),
             unknown_runs_until: None,
             may_have_unknown_runs: true,
@@ -455,8 +458,9 @@
                     }
                     return;
                 }
-                self.runs
-                    .insert((task, run), AgentRun::starting(owner, need, now));
+                let mut agent_run = AgentRun::starting(owner, need, now);
+                agent_run.expected = self.take_expected(owner, (task, run));
+                self.runs.insert((task, run), agent_run);
                 self.usage_report_due = true;
                 self.call_start(now, task, run, payload, out);
             }
@@ -479,6 +483,9 @@
                 self.stop(now, (task, run), out);
             }
             AgentOrder::Blame(evidence) => self.pass_evidence(now, evidence, out),
+            AgentOrder::Expect { task, run, length } => {
+                self.on_expect(now, owner, (task, run), length, out);
+            }
         }
     }
 
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -7,7 +7,7 @@
 use super::guard::JobGuard;
 use super::replicated_state::RunEnd;
 use super::server_call::{CallId, HoldReply, ServerReply};
-use super::spec::{RunId, TaskId};
+use super::spec::{RunId, RunOutcome, TaskId};
 use super::wire::{AgentReport, Denial};
 use crate::control::log::Term;
 use crate::core::clock::Millis;
@@ -227,6 +227,9 @@
             let agent_run = self.runs.remove(&(*task, *run));
             if let Some(agent_run) = &agent_run {
                 self.log_run_over(now, (*task, *run), agent_run, outcome);
+                if *outcome == RunOutcome::Done {
+                    self.learn_pace(now, agent_run);
+                }
             }
             self.ends.push(RetainedEnd {
                 number: *number,
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -45,6 +45,8 @@
     /// When it was ordered or first listed, and when its start was answered.
     pub(crate) ordered_at: Millis,
     pub(crate) answered_at: Option<Millis>,
+    /// Expected length on an average worker, if its dispatcher has sent it.
+    pub(crate) expected: Option<Millis>,
 }
 
 impl AgentRun {
@@ -60,6 +62,7 @@
             inherited: false,
             ordered_at: now,
             answered_at: None,
+            expected: None,
         }
     }
 
@@ -77,6 +80,7 @@
             inherited: true,
             ordered_at: now,
             answered_at: None,
+            expected: None,
         }
     }
 
--- a/src/dispatch/agent_ticks.rs
+++ b/src/dispatch/agent_ticks.rs
@@ -70,6 +70,7 @@
             self.report_ejection(false, out);
         }
         self.report_progress(now, out);
+        self.report_pace(now, out);
     }
 
     /// Reports to all dispatchers whether the worker should get new runs.
--- a/src/dispatch/dispatcher_link.rs
+++ b/src/dispatch/dispatcher_link.rs
@@ -1,5 +1,6 @@
 //! An agent's view of one dispatcher.
 
+use super::load::pace::ReportedPace;
 use super::spec::{Resources, RunId, TaskId};
 use crate::core::clock::Millis;
 
@@ -44,6 +45,12 @@
     pub(crate) expected_runs: Vec<(TaskId, RunId)>,
     /// The usage of other dispatchers that was last reported to it.
     pub(crate) reported_usage: Option<Resources>,
+    /// The run that the next order is to start, with its expected length on an average worker.
+    pub(crate) next_expected: Option<((TaskId, RunId), Millis)>,
+    /// It has sent expected lengths over the present session, and reads reports of the pace.
+    pub(crate) reads_pace: bool,
+    /// The pace that was last reported to it.
+    pub(crate) reported_pace: ReportedPace,
 }
 
 impl DispatcherLink {
@@ -58,6 +65,9 @@
         self.connected = true;
         self.has_inventory = false;
         self.reported_usage = None;
+        self.next_expected = None;
+        self.reads_pace = false;
+        self.reported_pace = ReportedPace::default();
     }
 
     pub(crate) fn disconnect(&mut self) {
--- a/src/dispatch/load/mod.rs
+++ b/src/dispatch/load/mod.rs
@@ -4,3 +4,4 @@
 //! import none of these.
 
 pub(crate) mod demand;
+pub(crate) mod pace;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod agent_calls;
 pub(crate) mod agent_crashes;
 pub(crate) mod agent_links;
+pub(crate) mod agent_pace;
 pub(crate) mod agent_replies;
 pub(crate) mod agent_run;
 pub(crate) mod agent_ticks;
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -8,7 +8,7 @@
 use super::load::demand::Rank;
 use super::spec::{JobDefinition, JobId, RunId, TaskId};
 use super::wire::{AcceptorMessage, AgentOrder};
-use super::worker::{PlacedRun, Worker, WorkerId};
+use super::worker::{PlacedRun, SessionId, Worker, WorkerId};
 use crate::core::clock::Millis;
 use crate::events;
 
@@ -236,6 +236,7 @@
                 worker.other_usage.cpu,
                 placed.expected.0
             ));
+            send_expected(session, (key, run), nominal, out);
             let order = AgentOrder::Start {
                 life,
                 task: key,
@@ -354,6 +355,20 @@
     }
 }
 
+/// Tells the agent how long the run that is ordered next takes on an average worker.
+fn send_expected(
+    session: SessionId,
+    (task, run): (TaskId, RunId),
+    length: Millis,
+    out: &mut Vec<DispatchOutput>,
+) {
+    let order = AgentOrder::Expect { task, run, length };
+    out.push(DispatchOutput::Message(
+        session,
+        AcceptorMessage::Order(order),
+    ));
+}
+
 /// Multiplies a duration; the result stays far below 2^53 ms.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn scale(time: Millis, by: f64) -> u64 {
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -3,9 +3,10 @@
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId, RUN_SKIP};
 use super::guard::JobGuard;
 use super::live::{LiveJob, TaskPhase};
+use super::load::pace;
 use super::replicated_state::{ReplicatedState, RunEnd, StateCommand};
 use super::run_trace::RunProof;
-use super::spec::{Resources, RunId, RunOutcome, TaskId};
+use super::spec::{JobId, Resources, RunId, RunOutcome, TaskId};
 use super::wire::{AcceptorMessage, AgentOrder, AgentReport, Denial, Server};
 use super::worker::{PlacedRun, SessionId, Worker, WorkerId};
 use crate::core::clock::Millis;
@@ -13,6 +14,8 @@
 
 /// Weight of the latest run in the moving average of a queue's duration ratio.
 const RATIO_WEIGHT: f64 = 0.05;
+/// Bounds of a queue's duration ratio: what is beyond them is no usable estimate.
+const RATIO_BOUNDS: (f64, f64) = (0.2, 5.0);
 
 impl Dispatcher {
     /// Handles a new session of an agent. Returns the runs that the agent should hold.
@@ -160,6 +163,13 @@
                 self.workers[id.0].record_crash(now, life);
                 self.on_unreachable(now, id, &runs, &unanswered, out);
             }
+            AgentReport::Pace(pace) => {
+                events::PACE_KNOWN.log(format_args!(
+                    "agent={} pace={pace} former={:.3}",
+                    self.workers[id.0].agent, self.workers[id.0].pace
+                ));
+                self.workers[id.0].pace = pace::from_thousandths(pace);
+            }
             AgentReport::Progress(rows) => {
                 for (task, run, percent) in rows {
                     if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
@@ -204,6 +214,7 @@
         for key in runs {
             self.adopt_run(now, id, *key, out);
         }
+        self.ask_for_pace(id, out);
         if state.is_some_and(|state| state.agents.binary_search(&agent).is_ok()) {
             self.workers[id.0].enrolled = true;
         } else if matches!(self.id, DispatcherId::Group(_)) {
@@ -218,6 +229,26 @@
         }
     }
 
+    /// Tells an agent that reports of its pace are understood here; it answers with the pace.
+    fn ask_for_pace(&self, id: WorkerId, out: &mut Vec<DispatchOutput>) {
+        let Some(session) = self.workers[id.0].session else {
+            return;
+        };
+        let no_run = AgentOrder::Expect {
+            task: TaskId {
+                job: JobId(0),
+                step: 0,
+                index: 0,
+            },
+            run: RunId(0),
+            length: Millis(0),
+        };
+        out.push(DispatchOutput::Message(
+            session,
+            AcceptorMessage::Order(no_run),
+        ));
+    }
+
     /// Updates which agents the log names.
     pub(crate) fn update_enrolled(&mut self, state: &ReplicatedState) {
         for worker in &mut self.workers {
@@ -551,19 +582,19 @@
         task: TaskId,
         placed: &PlacedRun,
     ) {
-        self.workers[id.0].record_success(now, placed);
-        let Some(job) = self.jobs.get(&task.job) else {
+        let worker = &mut self.workers[id.0];
+        worker.record_success();
+        let Some(started) = placed.started_at.filter(|_| placed.nominal > Millis(0)) else {
             return;
         };
-        let Some(started) = placed.started_at else {
+        let deviation = pace::deviation(now.since(started), placed.nominal.as_f64() * worker.pace);
+        worker.record_deviation(now, deviation);
+        let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
-        let estimate = job.estimate(task).as_f64().max(1.0);
-        let pace = self.workers[id.0].pace.max(0.1);
-        let measured = now.since(started).as_f64() / pace / estimate;
         let key = job.definition.settings.key();
         let ratio = self.duration_ratios.or_insert_with(key, || 1.0);
-        *ratio += (measured.clamp(0.2, 5.0) - *ratio) * RATIO_WEIGHT;
+        *ratio = (*ratio * (1.0 + RATIO_WEIGHT * deviation)).clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
     }
 
     pub(crate) fn duration_ratio(&self, job: &LiveJob) -> f64 {
--- a/src/dispatch/slow.rs
+++ b/src/dispatch/slow.rs
@@ -3,7 +3,7 @@
 use super::dispatcher::{DispatchOutput, Dispatcher};
 use super::spec::{JobId, RunId, TaskId};
 use super::wire::{AcceptorMessage, AgentOrder};
-use super::worker::{PlacedRun, WorkerId};
+use super::worker::{PlacedRun, Worker, WorkerId};
 use crate::core::clock::Millis;
 use crate::core::table::Table;
 use crate::events;
@@ -46,7 +46,8 @@
         for (at, worker) in self.workers.iter().enumerate() {
             for (key, placed) in worker.runs.iter() {
                 let sibling = fastest.get(&key.0.job).copied().unwrap_or_default();
-                if !placed.stopping && is_slow(placed, sibling) {
+                let is_slow = !placed.stopping && is_slow(placed, sibling);
+                if is_slow && !is_merely_long(now, worker, placed) {
                     slow.push((WorkerId(at), *key));
                 }
             }
@@ -166,6 +167,12 @@
     left > usual * SLOW_FACTOR
 }
 
+/// Returns true if other runs on the worker have ended on time lately: the run itself is longer than
+/// estimated, and would take as long elsewhere.
+fn is_merely_long(now: Millis, worker: &Worker, placed: &PlacedRun) -> bool {
+    worker.was_on_time_within(now, placed.expected.max(MIN_AGE))
+}
+
 /// Total duration of a run in milliseconds, projected from its progress so far.
 fn projected_duration(placed: &PlacedRun) -> Option<f64> {
     let (percent, at) = placed.progress?;
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -218,6 +218,16 @@
     },
     /// Pass evidence against a queue on to all dispatchers.
     Blame(Evidence),
+    /// Expected length of a run on an average worker. Sent right before the order to start it; with
+    /// a length of 0 after an inventory, to say that the dispatcher reads reports of the pace.
+    Expect {
+        /// The task of the run.
+        task: TaskId,
+        /// The run.
+        run: RunId,
+        /// Its expected length, in milliseconds.
+        length: Millis,
+    },
 }
 
 /// A backend server and its worker, as known to the agent.
@@ -301,6 +311,9 @@
         /// Runs that may have begun there, as their starts were not answered.
         unanswered: Vec<(TaskId, RunId)>,
     },
+    /// The worker's pace, in thousandths: the duration of runs there, relative to that on an average
+    /// worker.
+    Pace(u32),
 }
 
 /// A job of a queue is likely to have crashed backend servers, or has ended without another crash.
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -1,5 +1,6 @@
 //! A dispatcher's view of an agent with its backend server and worker.
 
+use super::load::pace;
 use super::replicated_state::RunEnd;
 use super::spec::{QueueKey, Resources, RunId, TaskId};
 use super::wire::Server;
@@ -14,10 +15,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
-/// Weight of the latest run in the moving average of a worker's pace.
-const PACE_WEIGHT: f64 = 0.15;
-/// Bounds on the pace that a single run may show: one extreme run must not exclude a worker.
-const PACE_BOUNDS: (f64, f64) = (0.25, 6.0);
+/// Weight of the latest run in a worker's pace, between two reports of its agent.
+const PACE_WEIGHT: f64 = 0.1;
+/// A run that takes at most this much longer than expected, as a part of that, is on time: declared
+/// times are off by up to 0.4.
+const ON_TIME: f64 = 0.7;
 /// Number of consecutive failures after which a worker is paused.
 const MAX_FAILURES: u32 = 3;
 /// First and longest pause of a failing worker, in milliseconds; each further failure doubles it.
@@ -87,6 +89,8 @@
     pub(crate) heartbeat_at: Option<Millis>,
     /// Mean ratio of a run's duration here to that on an average worker; below 1 is faster.
     pub(crate) pace: f64,
+    /// When a run last ended here in about its expected time.
+    pub(crate) on_time_at: Option<Millis>,
     // The worker reported that it has no free resources; it is passed over until this time.
     full_until: Millis,
     /// Runs stand still there, as its agent reported.
@@ -121,6 +125,7 @@
             last_granted_at: now,
             heartbeat_at: None,
             pace: 1.0,
+            on_time_at: None,
             full_until: Millis(0),
             ejected: false,
             ended_life: None,
@@ -212,16 +217,22 @@
         self.runs.iter().filter(|((t, _), _)| same(t)).count()
     }
 
-    /// Updates the pace from a run that succeeded.
-    pub(crate) fn record_success(&mut self, now: Millis, placed: &PlacedRun) {
+    /// Notes a run that succeeded.
+    pub(crate) fn record_success(&mut self) {
         self.failures_in_a_row = 0;
-        let Some(started) = placed.started_at else {
-            return;
-        };
-        let nominal = placed.nominal.as_f64().max(1.0);
-        let ratio = now.since(started).as_f64() / nominal;
-        let ratio = ratio.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-        self.pace += (ratio - self.pace) * PACE_WEIGHT;
+    }
+
+    /// Updates the pace from the deviation of a run that succeeded.
+    pub(crate) fn record_deviation(&mut self, now: Millis, deviation: f64) {
+        self.pace = pace::correct(self.pace, deviation, PACE_WEIGHT);
+        if deviation <= ON_TIME {
+            self.on_time_at = Some(now);
+        }
+    }
+
+    /// True if a run ended on time here at most this long ago.
+    pub(crate) fn was_on_time_within(&self, now: Millis, time: Millis) -> bool {
+        self.on_time_at.is_some_and(|at| now.since(at) <= time)
     }
 
     /// The worker had no free resources for an order, or may not start runs for now. Returns when
--- a/src/events.rs
+++ b/src/events.rs
@@ -123,6 +123,8 @@
     SERVER_LEFT = 514 Info "server-left";
     /// A run is over for its agent.
     RUN_OVER = 515 Info "run-over";
+    /// An agent reports its worker's pace to a dispatcher.
+    PACE = 516 Info "pace";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
@@ -192,6 +194,8 @@
     PAUSED = 632 Warn "paused";
     /// A call that may have been given up by its caller waited until that would be known.
     LATE_CALL = 633 Info "late-call";
+    /// A dispatcher takes a worker's pace from its agent's report.
+    PACE_KNOWN = 634 Info "pace-known";
     /// The demo found a promise of the dispatcher broken.
     BROKEN = 900 Error "promise-broken";
 }
--- a/tests/fakes/server.rs
+++ b/tests/fakes/server.rs
@@ -46,6 +46,8 @@
     pub capacity: Resources,
     /// Duration of each run.
     pub work: Millis,
+    /// Tasks whose runs have another duration.
+    pub other_lengths: Vec<(TaskId, Millis)>,
     /// While true, runs make no progress and do not end.
     pub is_hung: bool,
     /// From this time on, runs stay at the progress that they have made, and do not end.
@@ -91,6 +93,7 @@
                 gpu: 0,
             },
             work,
+            other_lengths: Vec::new(),
             is_hung: false,
             hung_from: None,
             failures_to_come: 0,
@@ -292,9 +295,11 @@
             return ServerReply::Denied(Denial::Stale);
         }
         self.revoke(key.0, key.1);
+        let mut other_lengths = self.other_lengths.iter();
+        let other = other_lengths.find(|(task, _)| *task == key.0);
         let active = ActiveRun {
             started_at: now,
-            ends_at: now + self.work,
+            ends_at: now + other.map_or(self.work, |(_, length)| *length),
         };
         self.running.insert(key, active);
         self.spans.push(Span {
@@ -314,8 +319,8 @@
 
     fn hold_reply(&self, now: Millis) -> HoldReply {
         let percent = |active: &ActiveRun| {
-            let done =
-                self.clock_of_work(now).since(active.started_at).0 * 100 / self.work.0.max(1);
+            let length = active.ends_at.since(active.started_at).0;
+            let done = self.clock_of_work(now).since(active.started_at).0 * 100 / length.max(1);
             u32::try_from(if self.is_hung { 0 } else { done.min(99) }).unwrap_or(0)
         };
         HoldReply {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -104,6 +104,10 @@
         unanswered: Vec::new(),
     };
     assert_eq!(encode(&unreachable), "0a010000");
+    let length = Millis(300);
+    let expect = AgentOrder::Expect { task, run, length };
+    assert_eq!(encode(&expect), "0507010209ac02");
+    assert_eq!(encode(&AgentReport::Pace(550)), "0ba604");
     assert_eq!(encode(&AgentReport::OtherUsage(used)), "05e8070a00");
     let progress = AgentReport::Progress(vec![(task, run, 40)]);
     assert_eq!(encode(&progress), "06010701020928");
