An entry that does not keep up turns its readiness off

Cause: an entry that was slow, overloaded by itself or cut off stayed ready, so callers went on sending it jobs that it served late or not at all.

Change: each entry watches its ticks, the length of its event queue and the agents that do not answer (load/self_check.rs). If events wait for longer than the shortest target of all queues for half of a second, it is not ready, refuses new jobs that it would serve late, of which nothing has been ordered, and closes connections after their answers, as any entry does that is not ready. It comes back after 1 s without long waits, on trial for ten times as long; a relapse in that time doubles its time away, up to 8 s. It leaves for being slow only if agents say that at most a quarter of their entries are late: an agent tells an entry that is late to answer heartbeats how many are (`AgentReport::LateEntries`), at most every 500 ms. Events E635 and `able` in E619, gauges fulmardrift_entry_delay_ms and fulmardrift_worker_pace.

Measured (tests/patterns/slow_entry.rs, virtual time, 6 entries, 6 agents): an entry whose turns are 300 ms apart leaves within 1.2 s, and is back once and within 3 s of the end of that; a short job is refused within a quarter of its objective, a long one is served. None leaves with three times the work that fits, with all entries slow, or with a third of the agents gone; one cut off from five of six agents leaves within 1.5 s. With pauses of 150 to 700 ms every 3 s it is away for at most an eighth of the time. Without the check the first two fail; without the agents' word all leave when all are slow; with one late tick as enough the entry with pauses is away for too long.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -235,6 +235,7 @@
                 if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
                     dispatcher.grant_expires_at = dispatcher.grant_expires_at.max(until);
                 }
+                self.note_echo(now, owner, until, out);
             }
             ServerAgentInput::Order(owner, order) => self.on_order(now, owner, order, out),
             ServerAgentInput::Recorded { owner, life, upto } => {
--- a/src/dispatch/agent_pace.rs
+++ b/src/dispatch/agent_pace.rs
@@ -53,6 +53,7 @@
                 continue;
             }
             if let Some(pace) = link.reported_pace.next(now, pace) {
+                metrics::gauge!("fulmardrift_worker_pace").set(pace);
                 events::PACE.log(format_args!("owner={owner:?} pace={pace}"));
                 out.push(ServerAgentOutput::Report(*owner, AgentReport::Pace(pace)));
             }
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -10,12 +10,13 @@
 use super::dispatcher::{DispatchOutput, Dispatcher, DispatcherId};
 use super::guard::JobGuard;
 use super::late_calls::{ArrivalGaps, SentAfter, TurnGaps};
+use super::load::self_check::SelfCheck;
 use super::readiness::Readiness;
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings};
 use super::times::Times;
-use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
+use super::wire::{AcceptorMessage, AgentReport, Initiator, InitiatorMessage};
 use super::worker::SessionId;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -137,6 +138,7 @@
     pub(super) held_calls: usize,
     pub(super) gaps: TurnGaps,
     pub(super) arrivals: ArrivalGaps,
+    pub(super) self_check: SelfCheck,
     actions: Vec<DispatchOutput>,
 }
 
@@ -161,6 +163,7 @@
             held_calls: 0,
             gaps: TurnGaps::new(now),
             arrivals: ArrivalGaps::new(now),
+            self_check: SelfCheck::new(),
             actions: Vec::new(),
         }
     }
@@ -217,6 +220,7 @@
                 let current = self.config.as_ref().map(|c| c.version);
                 if current.is_none_or(|current| current < config.version) {
                     events::SETUP.log(format_args!("version={} in_force=true", config.version));
+                    self.set_wait_limit(&config);
                     self.config = Some(config);
                     self.unpark(now, out);
                 }
@@ -420,6 +424,9 @@
         }
         if !self.dispatcher.has_job(id) {
             let job = OpenJob::new(settings.clone(), spec);
+            if let Some(reply) = self.refuse_if_slow(now, &incoming, id, &job) {
+                return Some(reply);
+            }
             let tasks: usize = job.tasks.iter().map(Vec::len).sum();
             events::ACCEPTED.log(format_args!(
                 "job={id} call={token} tasks={tasks} stored=false wait_ms={}",
@@ -518,6 +525,9 @@
                     AcceptorMessage::HeartbeatAck { at, grant },
                 ));
             }
+            InitiatorMessage::Report(AgentReport::LateEntries { late, entries }) => {
+                self.self_check.note_report(now, late, entries);
+            }
             InitiatorMessage::Report(report) => {
                 self.dispatcher
                     .on_report(now, None, session, report, &mut self.actions);
@@ -532,6 +542,7 @@
     }
 
     fn tick(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
+        self.check_self(now);
         self.expire(now, out);
         self.refuse_useless(now, out);
         self.forward(now, out);
@@ -552,6 +563,7 @@
     /// What this entry has of that which it needs to serve new callers.
     pub(crate) fn readiness(&self, now: Millis) -> Readiness {
         Readiness {
+            able: self.self_check.is_able(),
             config: self.config.is_some(),
             leader: self.leader.is_some(),
             worker: self.dispatcher.has_open_worker(now, &self.evacuated),
--- a/src/dispatch/dispatcher_link.rs
+++ b/src/dispatch/dispatcher_link.rs
@@ -49,6 +49,11 @@
     pub(crate) next_expected: Option<((TaskId, RunId), Millis)>,
     /// It has sent expected lengths over the present session, and reads reports of the pace.
     pub(crate) reads_pace: bool,
+    /// Since when answers to heartbeats come late, when the last one did, and when the entry was last
+    /// told so.
+    pub(crate) late_since: Millis,
+    pub(crate) late_echo_at: Option<Millis>,
+    pub(crate) told_late_at: Option<Millis>,
     /// The pace that was last reported to it.
     pub(crate) reported_pace: ReportedPace,
 }
--- a/src/dispatch/load/mod.rs
+++ b/src/dispatch/load/mod.rs
@@ -5,3 +5,4 @@
 
 pub(crate) mod demand;
 pub(crate) mod pace;
+pub(crate) mod self_check;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod agent;
 pub(crate) mod agent_calls;
 pub(crate) mod agent_crashes;
+pub(crate) mod agent_echoes;
 pub(crate) mod agent_links;
 pub(crate) mod agent_pace;
 pub(crate) mod agent_replies;
@@ -38,6 +39,7 @@
 pub(crate) mod run_trace;
 pub(crate) mod server_call;
 pub(crate) mod slow;
+pub(crate) mod slow_entry;
 pub(crate) mod spec;
 pub(crate) mod suspects;
 pub(crate) mod times;
--- a/src/dispatch/readiness.rs
+++ b/src/dispatch/readiness.rs
@@ -5,6 +5,8 @@
 /// What an entry has of that which it needs to serve new callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Readiness {
+    /// It keeps up with its work, and reaches its agents.
+    pub(crate) able: bool,
     /// A configuration is in force.
     pub(crate) config: bool,
     /// It has a link to the leader.
@@ -14,9 +16,9 @@
 }
 
 impl Readiness {
-    /// True with a configuration, and either a usable worker or a link to the leader.
+    /// True if it keeps up, with a configuration, and either a usable worker or a link to the leader.
     pub(crate) fn is_ready(self) -> bool {
-        self.config && (self.leader || self.worker)
+        self.able && self.config && (self.leader || self.worker)
     }
 }
 
@@ -24,8 +26,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "ready={} config={} leader={} worker={}",
+            "ready={} able={} config={} leader={} worker={}",
             self.is_ready(),
+            self.able,
             self.config,
             self.leader,
             self.worker
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -170,6 +170,8 @@
                 ));
                 self.workers[id.0].pace = pace::from_thousandths(pace);
             }
+            // Only an entry watches itself; its call router takes the report.
+            AgentReport::LateEntries { .. } => {}
             AgentReport::Progress(rows) => {
                 for (task, run, percent) in rows {
                     if let Some(placed) = self.workers[id.0].runs.get_mut(&(task, run)) {
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -314,6 +314,13 @@
     /// The worker's pace, in thousandths: the duration of runs there, relative to that on an average
     /// worker.
     Pace(u32),
+    /// Sent to an entry that was late to answer a heartbeat.
+    LateEntries {
+        /// Number of entries that were late to answer one lately, the receiver included.
+        late: u32,
+        /// Number of entries that are connected to the agent.
+        entries: u32,
+    },
 }
 
 /// A job of a queue is likely to have crashed backend servers, or has ended without another crash.
--- a/src/events.rs
+++ b/src/events.rs
@@ -196,6 +196,8 @@
     LATE_CALL = 633 Info "late-call";
     /// A dispatcher takes a worker's pace from its agent's report.
     PACE_KNOWN = 634 Info "pace-known";
+    /// An entry does not keep up or is cut off, so that it is not ready, or it comes back.
+    ENTRY_SLOW = 635 Warn "entry-slow";
     /// The demo found a promise of the dispatcher broken.
     BROKEN = 900 Error "promise-broken";
 }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -234,16 +234,19 @@
                 }
                 self.router.step(now, input, &mut out);
             }
+            let mut handled = 1;
             for _ in 0..MAX_EVENTS_PER_TURN {
                 let Ok(event) = rx.try_recv() else {
                     break;
                 };
+                handled += 1;
                 // Read after the event was taken: an earlier time may be older than a heartbeat,
                 // and so than the grant that follows from that.
                 if let Some(input) = self.handle_event(event) {
                     self.router.step(self.clock.now(), input, &mut out);
                 }
             }
+            self.router.note_turn(handled, rx.len());
             let flushed_at = self.clock.now();
             // The notice that a caller has left may still wait in the queue.
             if self.router.may_order_late(flushed_at) {
--- a/tests/fakes/fleet.rs
+++ b/tests/fakes/fleet.rs
@@ -35,6 +35,8 @@
     /// Offset of its wall clock, in milliseconds.
     pub clock_skew_ms: i64,
     pub frozen: bool,
+    /// While not 0, the entry handles what has arrived only this often, in milliseconds.
+    pub turn_ms: u64,
     inbox: Vec<CallRouterInput>,
 }
 
@@ -202,6 +204,7 @@
                 answers: Vec::new(),
                 clock_skew_ms: 0,
                 frozen: false,
+                turn_ms: 0,
                 inbox: Vec::new(),
             });
         }
@@ -439,6 +442,7 @@
             self.connect();
             self.deliver();
             self.execute_calls();
+            self.run_slow_entries();
             if self.now.0.is_multiple_of(20) {
                 self.tick();
             }
@@ -451,6 +455,28 @@
         }
     }
 
+    fn run_slow_entries(&mut self) {
+        for entry in 0..self.entries.len() {
+            let turn_ms = self.entries[entry].turn_ms;
+            if turn_ms == 0 {
+                continue;
+            }
+            if self.now.0.is_multiple_of(turn_ms) {
+                self.wake_entry(entry);
+                self.router_input(entry, CallRouterInput::Tick);
+            }
+            self.entries[entry].frozen = true;
+        }
+    }
+
+    /// Makes an entry slow, or fast again if `turn_ms` is 0.
+    pub fn set_turn(&mut self, entry: usize, turn_ms: u64) {
+        self.entries[entry].turn_ms = turn_ms;
+        if turn_ms == 0 {
+            self.wake_entry(entry);
+        }
+    }
+
     /// Opens the missing sessions, at most every 50 ms.
     fn connect(&mut self) {
         for entry in 0..self.entries.len() {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -108,6 +108,9 @@
     let expect = AgentOrder::Expect { task, run, length };
     assert_eq!(encode(&expect), "0507010209ac02");
     assert_eq!(encode(&AgentReport::Pace(550)), "0ba604");
+    let (late, entries) = (1, 12);
+    let late_entries = AgentReport::LateEntries { late, entries };
+    assert_eq!(encode(&late_entries), "0c010c");
     assert_eq!(encode(&AgentReport::OtherUsage(used)), "05e8070a00");
     let progress = AgentReport::Progress(vec![(task, run, 40)]);
     assert_eq!(encode(&progress), "06010701020928");
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -12,5 +12,6 @@
 mod overload_of_many_entries;
 mod shrinking_room;
 mod slow_answers;
+mod slow_entry;
 mod uneven_workers;
 mod usage_of_many_entries;
