Test paces against declared times that are off, and tidy the readiness

Cause: no test had the errors of declared times that the estimate of a pace is to bear; clippy found equal match arms and a fourth flag in Readiness.

Change: Readiness holds the standing itself. A test with declared times off by up to 0.4 and one of 32 tasks of seven times the length.

Measured: an entry that has just started puts 8 tasks on the two fast of four workers in that test as well. clippy has no finding.

--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -563,7 +563,7 @@
     /// What this entry has of that which it needs to serve new callers.
     pub(crate) fn readiness(&self, now: Millis) -> Readiness {
         Readiness {
-            able: self.self_check.is_able(),
+            standing: self.self_check.standing(),
             config: self.config.is_some(),
             leader: self.leader.is_some(),
             worker: self.dispatcher.has_open_worker(now, &self.evacuated),
--- a/src/dispatch/load/self_check.rs
+++ b/src/dispatch/load/self_check.rs
@@ -52,6 +52,13 @@
     },
 }
 
+impl Standing {
+    /// True while the entry takes new callers.
+    pub(crate) fn is_able(self) -> bool {
+        !matches!(self, Self::Away { .. })
+    }
+}
+
 /// The agents that an entry has heard lately, and what else it reaches.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Reach {
@@ -188,12 +195,11 @@
                     hold,
                 }
             }
-            Standing::Away { .. } => self.standing,
             Standing::Returning { hold, .. } if is_cut_off || self.is_slow(SLOW_PERCENT / 2) => {
                 away(Millis(hold.0 * 2).min(MAX_HOLD))
             }
             Standing::Returning { until, .. } if now >= until => Standing::Serving,
-            Standing::Returning { .. } => self.standing,
+            Standing::Away { .. } | Standing::Returning { .. } => self.standing,
         }
     }
 
@@ -229,11 +235,6 @@
         reports > 0 && entries > reports && (late <= reports || late * LATE_PART <= entries)
     }
 
-    /// True while the entry takes new callers.
-    pub(crate) fn is_able(&self) -> bool {
-        !matches!(self.standing, Standing::Away { .. })
-    }
-
     pub(crate) fn standing(&self) -> Standing {
         self.standing
     }
--- a/src/dispatch/readiness.rs
+++ b/src/dispatch/readiness.rs
@@ -2,11 +2,13 @@
 
 use std::fmt;
 
+use super::load::self_check::Standing;
+
 /// What an entry has of that which it needs to serve new callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Readiness {
-    /// It keeps up with its work, and reaches its agents.
-    pub(crate) able: bool,
+    /// Whether it keeps up with its work and reaches its agents.
+    pub(crate) standing: Standing,
     /// A configuration is in force.
     pub(crate) config: bool,
     /// It has a link to the leader.
@@ -18,7 +20,7 @@
 impl Readiness {
     /// True if it keeps up, with a configuration, and either a usable worker or a link to the leader.
     pub(crate) fn is_ready(self) -> bool {
-        self.able && self.config && (self.leader || self.worker)
+        self.standing.is_able() && self.config && (self.leader || self.worker)
     }
 }
 
@@ -28,7 +30,7 @@
             f,
             "ready={} able={} config={} leader={} worker={}",
             self.is_ready(),
-            self.able,
+            self.standing.is_able(),
             self.config,
             self.leader,
             self.worker
--- a/src/dispatch/slow_entry.rs
+++ b/src/dispatch/slow_entry.rs
@@ -64,7 +64,7 @@
         id: JobId,
         job: &OpenJob,
     ) -> Option<CallReply> {
-        if self.self_check.is_able() {
+        if self.self_check.standing().is_able() {
             return None;
         }
         let delay = Millis(self.self_check.delay().0 * TURNS_PER_JOB);
--- a/tests/patterns/slow_entry.rs
+++ b/tests/patterns/slow_entry.rs
@@ -46,7 +46,7 @@
                 }
                 let is_ready = self.fleet.is_ready(entry);
                 let changes = &mut self.changes[entry];
-                if changes.last().map_or(true, |(_, last)| *last) != is_ready {
+                if changes.last().is_none_or(|(_, last)| *last) != is_ready {
                     changes.push((self.fleet.now, is_ready));
                 }
             }
--- a/tests/patterns/uneven_workers.rs
+++ b/tests/patterns/uneven_workers.rs
@@ -62,6 +62,38 @@
     assert_eq!(runs_of(&fleet, id), [0, 0, 4, 4]);
 }
 
+/// Guards against paces that follow the declared times or single runs instead of the workers.
+#[test]
+fn paces_are_right_though_declared_times_are_off_and_a_few_tasks_are_extreme() {
+    let mut fleet = Fleet::new(2, 4, 100);
+    let jobs = 1..=40;
+    // One of 32 tasks.
+    let extreme = jobs.clone().step_by(2).map(|id| {
+        let job = JobId(id);
+        let (step, index) = (0, 0);
+        (TaskId { job, step, index }, Millis(EXTREME * 100))
+    });
+    let extreme: Vec<_> = extreme.collect();
+    for (slot, work) in fleet.agents.iter_mut().zip([130, 120, 60, 70]) {
+        slot.server.work = Millis(work);
+        slot.server.other_lengths.clone_from(&extreme);
+    }
+    for id in jobs.clone() {
+        // Off by up to 0.4 in both directions.
+        let estimate = 60 + id * 37 % 81;
+        submit_job(&mut fleet, 0, id, 16, estimate);
+        fleet.run(200);
+    }
+    fleet.run(1_500);
+    fleet.kill_entry(1);
+    fleet.start_entry(1);
+    fleet.run(100);
+    let id = jobs.end() + 1;
+    submit_job(&mut fleet, 1, id, 8, 100);
+    fleet.run(300);
+    assert_eq!(runs_of(&fleet, id), [0, 0, 4, 4]);
+}
+
 /// Guards against a worker that is passed over because one of its tasks was much longer than declared.
 #[test]
 fn one_extreme_run_changes_a_pace_little() {
