--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -17,6 +17,7 @@
 use super::ejection::Ejection;
 use super::guard::{Guards, JobGuard};
 use super::load::offers::Offers;
+use super::load::pace::WorkerPace;
 use super::server_call::{CallId, ServerCall, ServerHeartbeat, ServerReply};
 use super::spec::{Resources, RunId, TaskId};
 use super::times::Times;
@@ -158,6 +159,7 @@
     pub(crate) offers: Offers,
     pub(crate) answer_times: AnswerTimes,
     pub(crate) ejection: Ejection,
+    pub(crate) pace: WorkerPace,
     pub(crate) crash_log: CrashLog,
     // An earlier incarnation of this agent may have left runs at a backend server that has not
     // announced itself yet. Their lease has expired at this time at the latest.
@@ -209,6 +211,7 @@
             offers: Offers::default(),
             answer_times: AnswerTimes::new(),
             ejection: Ejection::default(),
+            pace: WorkerPace::default(),
             crash_log: CrashLog::default(),
             unknown_runs_until: None,
             may_have_unknown_runs: true,
@@ -241,6 +244,7 @@
                 if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
                     dispatcher.grant_expires_at = dispatcher.grant_expires_at.max(until);
                 }
+                self.note_echo(now, owner, until, out);
             }
             ServerAgentInput::Order(owner, order) => self.on_order(now, owner, order, out),
             ServerAgentInput::Recorded { owner, life, upto } => {
@@ -474,11 +478,9 @@
                     }
                     return;
                 }
-                let dispatcher = self.dispatchers.get_mut(&owner);
-                let length = dispatcher.and_then(|d| d.take_length(task, run));
-                let mut starting = AgentRun::starting(owner, need, now);
-                starting.length = length;
-                self.runs.insert((task, run), starting);
+                let mut agent_run = AgentRun::starting(owner, need, now);
+                agent_run.expected = self.take_expected(owner, (task, run));
+                self.runs.insert((task, run), agent_run);
                 self.offers.use_offer(owner, need);
                 self.usage_report_due = true;
                 self.call_start(now, task, run, payload, out);
@@ -504,9 +506,7 @@
             AgentOrder::Blame(evidence) => self.pass_evidence(now, evidence, out),
             AgentOrder::Want(wants) => self.on_wants(now, owner, &wants),
             AgentOrder::Expect { task, run, length } => {
-                if let Some(dispatcher) = self.dispatchers.get_mut(&owner) {
-                    dispatcher.expected_run = Some((task, run, length));
-                }
+                self.on_expect(now, owner, (task, run), length, out);
             }
         }
     }
--- a/src/dispatch/agent_offers.rs
+++ b/src/dispatch/agent_offers.rs
@@ -133,7 +133,7 @@
         let age = agent_run.listed_at.since(started).0;
         Millis(age * 100 / u64::from(agent_run.percent))
     } else {
-        agent_run.length.unwrap_or(UNKNOWN_LENGTH)
+        agent_run.expected.unwrap_or(UNKNOWN_LENGTH)
     };
     let overtime = Millis(now.since(started).0 / OVERTIME_PART).max(MIN_LEFT);
     let end = started + total;
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -34,8 +34,6 @@
     pub(crate) phase: RunPhase,
     /// When the run entered its phase, or when the last stop was sent.
     pub(crate) changed_at: Millis,
-    /// Expected duration on an average worker, if its dispatcher sent it.
-    pub(crate) length: Option<Millis>,
     /// Progress in percent.
     pub(crate) percent: u32,
     /// As of when the backend server listed that progress.
@@ -54,6 +52,8 @@
     /// When it was ordered or first listed, and when its start was answered.
     pub(crate) ordered_at: Millis,
     pub(crate) answered_at: Option<Millis>,
+    /// Expected length on an average worker, if its dispatcher has sent it.
+    pub(crate) expected: Option<Millis>,
 }
 
 impl AgentRun {
@@ -63,7 +63,6 @@
             need,
             phase: RunPhase::Starting,
             changed_at: now,
-            length: None,
             percent: 0,
             listed_at: now,
             known_started: false,
@@ -73,6 +72,7 @@
             inherited: false,
             ordered_at: now,
             answered_at: None,
+            expected: None,
         }
     }
 
@@ -84,7 +84,6 @@
             need: Resources::default(),
             phase: RunPhase::Running,
             changed_at: now,
-            length: None,
             percent: 0,
             listed_at: now,
             known_started: true,
@@ -94,6 +93,7 @@
             inherited: true,
             ordered_at: now,
             answered_at: None,
+            expected: None,
         }
     }
 
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -15,13 +15,14 @@
 use super::late_calls::{ArrivalGaps, SentAfter, TurnGaps};
 use super::live::LiveJob;
 use super::load::retry_after::{retry_after, spread};
+use super::load::self_check::SelfCheck;
 use super::load::want::Urgency;
 use super::readiness::Readiness;
 use super::replicated_state::OpenJob;
 use super::routes::{self, Target};
 use super::spec::{JobId, JobSpec, JobStatus, OperatorConfig, QueueSettings};
 use super::times::Times;
-use super::wire::{AcceptorMessage, Initiator, InitiatorMessage};
+use super::wire::{AcceptorMessage, AgentReport, Initiator, InitiatorMessage};
 use super::worker::SessionId;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -149,6 +150,7 @@
     pub(super) held_calls: usize,
     pub(super) gaps: TurnGaps,
     pub(super) arrivals: ArrivalGaps,
+    pub(super) self_check: SelfCheck,
     actions: Vec<DispatchOutput>,
     rng: Pcg64Mcg,
 }
@@ -174,6 +176,7 @@
             held_calls: 0,
             gaps: TurnGaps::new(now),
             arrivals: ArrivalGaps::new(now),
+            self_check: SelfCheck::new(),
             actions: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(life),
         }
@@ -231,6 +234,7 @@
                 let current = self.config.as_ref().map(|c| c.version);
                 if current.is_none_or(|current| current < config.version) {
                     events::SETUP.log(format_args!("version={} in_force=true", config.version));
+                    self.set_wait_limit(&config);
                     self.config = Some(config);
                     self.unpark(now, out);
                 }
@@ -460,11 +464,12 @@
             self.dispatcher.demand.record_arrival(now, &live);
             return Some(CallReply::Refused(self.retry_unknown()));
         }
-        if !self.dispatcher.has_job(id)
-            && let Some(reply) =
-                self.admit(now, &incoming, id, OpenJob::new(settings.clone(), spec))
-        {
-            return Some(reply);
+        if !self.dispatcher.has_job(id) {
+            let job = OpenJob::new(settings.clone(), spec);
+            let slow = self.refuse_if_slow(now, &incoming, id, &job);
+            if let Some(reply) = slow.or_else(|| self.admit(now, &incoming, id, job)) {
+                return Some(reply);
+            }
         }
         self.dispatcher.extend_deadline(id, incoming.deadline);
         self.waiting_calls.or_insert_with(id, Vec::new).push(token);
@@ -623,6 +628,9 @@
                     AcceptorMessage::HeartbeatAck { at, grant },
                 ));
             }
+            InitiatorMessage::Report(AgentReport::LateEntries { late, entries }) => {
+                self.self_check.note_report(now, late, entries);
+            }
             InitiatorMessage::Report(report) => {
                 self.dispatcher
                     .on_report(now, None, session, report, &mut self.actions);
@@ -637,6 +645,7 @@
     }
 
     fn tick(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
+        self.check_self(now);
         self.expire(now, out);
         self.dispatcher.update_load(now);
         self.refuse_useless(now, out);
@@ -658,6 +667,7 @@
     /// What this entry has of that which it needs to serve new callers.
     pub(crate) fn readiness(&self, now: Millis) -> Readiness {
         Readiness {
+            standing: self.self_check.standing(),
             config: self.config.is_some(),
             leader: self.leader.is_some(),
             worker: self.dispatcher.has_open_worker(now, &self.evacuated),
--- a/src/dispatch/dispatcher_link.rs
+++ b/src/dispatch/dispatcher_link.rs
@@ -1,5 +1,6 @@
 //! An agent's view of one dispatcher.
 
+use super::load::pace::ReportedPace;
 use super::spec::{Resources, RunId, TaskId};
 use crate::core::clock::Millis;
 
@@ -46,8 +47,17 @@
     pub(crate) expected_runs: Vec<(TaskId, RunId)>,
     /// The usage of other dispatchers that was last reported to it.
     pub(crate) reported_usage: Option<Resources>,
-    /// The run that it will order next, and how long that takes on an average worker.
-    pub(crate) expected_run: Option<(TaskId, RunId, Millis)>,
+    /// The run that the next order is to start, with its expected length on an average worker.
+    pub(crate) next_expected: Option<((TaskId, RunId), Millis)>,
+    /// It has sent expected lengths over the present session, and reads reports of the pace.
+    pub(crate) reads_pace: bool,
+    /// Since when answers to heartbeats come late, when the last one did, and when the entry was last
+    /// told so.
+    pub(crate) late_since: Millis,
+    pub(crate) late_echo_at: Option<Millis>,
+    pub(crate) told_late_at: Option<Millis>,
+    /// The pace that was last reported to it.
+    pub(crate) reported_pace: ReportedPace,
 }
 
 impl DispatcherLink {
@@ -63,14 +73,9 @@
         self.has_inventory = false;
         self.reported_end = 0;
         self.reported_usage = None;
-        self.expected_run = None;
-    }
-
-    /// The expected duration of a run on an average worker, if it was sent with the order.
-    pub(crate) fn take_length(&mut self, task: TaskId, run: RunId) -> Option<Millis> {
-        let expected = self.expected_run.take();
-        let same = expected.filter(|(t, r, _)| (*t, *r) == (task, run));
-        same.map(|(_, _, length)| length)
+        self.next_expected = None;
+        self.reads_pace = false;
+        self.reported_pace = ReportedPace::default();
     }
 
     pub(crate) fn disconnect(&mut self) {
--- a/src/dispatch/load/mod.rs
+++ b/src/dispatch/load/mod.rs
@@ -6,6 +6,8 @@
 pub(crate) mod admission;
 pub(crate) mod demand;
 pub(crate) mod offers;
+pub(crate) mod pace;
 pub(crate) mod retry_after;
+pub(crate) mod self_check;
 pub(crate) mod want;
 pub(crate) mod whole_jobs;
--- a/src/dispatch/wire.rs
+++ b/src/dispatch/wire.rs
@@ -221,13 +221,14 @@
     Blame(Evidence),
     /// Tasks that wait for capacity of the worker; replaces what the sender had asked before.
     Want(Vec<Want>),
-    /// How long a run is expected to take; sent just before the order to start it.
+    /// Expected length of a run on an average worker. Sent right before the order to start it; with
+    /// a length of 0 after an inventory, to say that the dispatcher reads reports of the pace.
     Expect {
         /// The task of the run.
         task: TaskId,
         /// The run.
         run: RunId,
-        /// Expected duration on an average worker.
+        /// Its expected length, in milliseconds.
         length: Millis,
     },
 }
@@ -313,6 +314,16 @@
         /// Runs that may have begun there, as their starts were not answered.
         unanswered: Vec<(TaskId, RunId)>,
     },
+    /// The worker's pace, in thousandths: the duration of runs there, relative to that on an average
+    /// worker.
+    Pace(u32),
+    /// Sent to an entry that was late to answer a heartbeat.
+    LateEntries {
+        /// Number of entries that were late to answer one lately, the receiver included.
+        late: u32,
+        /// Number of entries that are connected to the agent.
+        entries: u32,
+    },
 }
 
 /// A job of a queue is likely to have crashed backend servers, or has ended without another crash.
--- a/src/events.rs
+++ b/src/events.rs
@@ -129,6 +129,8 @@
     KEPT = 517 Info "capacity-kept";
     /// A dispatcher did not use the capacity that an agent had reserved for it.
     OFFER_LAPSED = 518 Info "offer-lapsed";
+    /// An agent reports its worker's pace to a dispatcher.
+    PACE = 519 Info "pace";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
@@ -200,6 +202,10 @@
     LATE_CALL = 633 Info "late-call";
     /// A dispatcher asked an agent for capacity, or no longer does.
     WANTED = 634 Debug "capacity-wanted";
+    /// A dispatcher takes a worker's pace from its agent's report.
+    PACE_KNOWN = 635 Info "pace-known";
+    /// An entry does not keep up or is cut off, so that it is not ready, or it comes back.
+    ENTRY_SLOW = 636 Warn "entry-slow";
     /// The demo found a promise of the dispatcher broken.
     BROKEN = 900 Error "promise-broken";
 }
--- a/tests/patterns/main.rs
+++ b/tests/patterns/main.rs
@@ -17,4 +17,6 @@
 mod restart_of_all;
 mod shrinking_room;
 mod slow_answers;
+mod slow_entry;
+mod uneven_workers;
 mod usage_of_many_entries;
