--- a/src/dispatch/asking.rs
+++ b/src/dispatch/asking.rs
@@ -92,24 +92,42 @@
         }
     }
 
-    /// Notes that a task is started on a worker, whose agent takes that for one of the wants of the
-    /// same need.
-    pub(crate) fn note_start(&mut self, key: TaskId, id: WorkerId) {
-        let asked = self.tasks.remove(&key);
-        let workers = asked.map_or([None; ASKED_WORKERS], |asked| asked.workers);
-        for worker in workers.into_iter().flatten() {
-            let agent = &mut self.agents[worker.0];
-            agent.has_excess |= worker != id;
-            agent.is_outdated |= worker == id && agent.tasks > MAX_WANTS;
-            agent.tasks -= 1;
+    /// Notes that a task is started on a worker, whose agent takes that for its most urgent want of
+    /// the same need. If that was another task's, this one takes over a want of the started task.
+    pub(crate) fn note_start(&mut self, key: TaskId, need: Resources, id: WorkerId) {
+        let started = self.tasks.remove(&key);
+        let mut workers = started.map_or([None; ASKED_WORKERS], |started| started.workers);
+        if !workers.contains(&Some(id)) {
+            let rows = self.tasks.iter_mut().map(|(_, task)| task);
+            let served = rows
+                .filter(|task| task.workers.contains(&Some(id)) && task.want.need == need)
+                .min_by_key(|task| task.want.urgency);
+            if let Some(task) = served {
+                let free = workers.iter_mut();
+                let taken = free
+                    .filter(|worker| !task.workers.contains(worker))
+                    .find_map(Option::take);
+                let lost = task.workers.iter_mut().find(|w| **w == Some(id));
+                if let Some(slot) = lost {
+                    *slot = taken;
+                }
+                self.release(id, false);
+            }
         }
-        if !workers.contains(&Some(id))
-            && let Some(agent) = self.agents.get_mut(id.0)
-        {
-            agent.is_outdated |= agent.tasks > 0;
+        for worker in workers.into_iter().flatten() {
+            self.release(worker, worker != id);
         }
     }
 
+    /// An agent is asked for one task less; it may not know.
+    fn release(&mut self, id: WorkerId, is_excess: bool) {
+        let agent = &mut self.agents[id.0];
+        agent.has_excess |= is_excess;
+        // It can be told of a task that was left out.
+        agent.is_outdated |= !is_excess && agent.tasks > MAX_WANTS;
+        agent.tasks -= 1;
+    }
+
     /// An agent has forgotten what it was asked.
     pub(crate) fn resend(&mut self, id: WorkerId) {
         if let Some(agent) = self.agents.get_mut(id.0) {
@@ -183,7 +201,9 @@
                     }
                     left -= 1;
                     let key = task_id(*id, step, index);
-                    if let Some(known) = asked.tasks.get_mut(&key) {
+                    let none = [None; ASKED_WORKERS];
+                    let known = asked.tasks.get_mut(&key);
+                    if let Some(known) = known.filter(|known| known.workers != none) {
                         known.scan = scan;
                         if now >= known.until || known.want.urgency.class != urgency.class {
                             known.want.urgency = urgency;
@@ -194,7 +214,7 @@
                         continue;
                     }
                     let workers = self.choose_asked(now, evacuated, key, asked, &mut sweeps);
-                    if workers == [None; ASKED_WORKERS] {
+                    if workers == none {
                         continue;
                     }
                     let want = Want {
@@ -243,7 +263,7 @@
             return chosen;
         };
         let queue = self.queue_if_divided(&job.definition);
-        let filter = self.worker_filter(now, evacuated, &job.definition, &queue, key);
+        let filter = self.worker_filter(now, evacuated, &job.definition, queue.as_ref(), key);
         let Some(filter) = filter else {
             return chosen;
         };
@@ -283,6 +303,7 @@
             let is_lost = agent.session != worker.session || now.since(agent.sent_at) >= REFRESH;
             agent.is_outdated |= agent.tasks > 0 && is_lost;
             let Some(session) = worker.session.filter(|_| worker.has_inventory) else {
+                agent.has_excess = false;
                 continue;
             };
             let silent = if agent.sent_at == Millis(0) {
--- a/src/dispatch/load/offers.rs
+++ b/src/dispatch/load/offers.rs
@@ -64,7 +64,7 @@
 pub(crate) struct Offers {
     // Most urgent first, then longest waiting.
     wants: Vec<OpenWant>,
-    offers: Vec<Offer>,
+    reservations: Vec<Offer>,
     lapses: Table<Owner, Lapses>,
     // Free capacity that is kept for a task until it fits.
     kept: Resources,
@@ -84,7 +84,7 @@
 impl Offers {
     /// True if nothing is asked for or reserved.
     pub(crate) fn is_idle(&self) -> bool {
-        self.wants.is_empty() && self.offers.is_empty()
+        self.wants.is_empty() && self.reservations.is_empty()
     }
 
     /// Has the next allocation look at everything again.
@@ -103,7 +103,7 @@
             open.owner != owner
         });
         if wants.is_empty() {
-            self.offers.retain(|offer| offer.want.owner != owner);
+            self.reservations.retain(|offer| offer.want.owner != owner);
             return;
         }
         for want in wants.iter().take(MAX_WANTS) {
@@ -124,11 +124,11 @@
 
     /// Forgets what a dispatcher had asked for and was offered.
     pub(crate) fn forget(&mut self, owner: Owner) {
-        let before = self.wants.len() + self.offers.len();
+        let before = self.wants.len() + self.reservations.len();
         self.wants.retain(|open| open.owner != owner);
-        self.offers.retain(|offer| offer.want.owner != owner);
+        self.reservations.retain(|offer| offer.want.owner != owner);
         self.lapses.remove(&owner);
-        self.due |= before != self.wants.len() + self.offers.len();
+        self.due |= before != self.wants.len() + self.reservations.len();
     }
 
     /// The dispatchers that ask for something.
@@ -146,9 +146,9 @@
         let of_owner = |offer: &Offer| offer.want.owner == owner;
         let exact = |offer: &Offer| of_owner(offer) && offer.want.want.need == need;
         let covers = |offer: &Offer| of_owner(offer) && !need.exceeds(offer.want.want.need);
-        let at = self.offers.iter().position(exact);
-        if let Some(at) = at.or_else(|| self.offers.iter().position(covers)) {
-            self.offers.swap_remove(at);
+        let at = self.reservations.iter().position(exact);
+        if let Some(at) = at.or_else(|| self.reservations.iter().position(covers)) {
+            self.reservations.swap_remove(at);
             self.lapses.remove(&owner);
             return;
         }
@@ -165,18 +165,18 @@
         self.wants.retain(|open| now < open.until);
         self.due |= before != self.wants.len();
         let mut lapsed = Vec::new();
-        for offer in self.offers.extract_if(.., |offer| now >= offer.until) {
+        for offer in self.reservations.extract_if(.., |offer| now >= offer.until) {
             let owner = offer.want.owner;
             let first = Lapses {
                 count: 0,
                 paused_until: now,
             };
-            let lapses = self.lapses.or_insert_with(owner, || first);
+            let record = self.lapses.or_insert_with(owner, || first);
             if !lapsed.contains(&owner) {
                 lapsed.push(owner);
-                lapses.paused_until =
-                    now + Millis(FIRST_PAUSE.0 << lapses.count.min(MAX_DOUBLINGS));
-                lapses.count += 1;
+                record.paused_until =
+                    now + Millis(FIRST_PAUSE.0 << record.count.min(MAX_DOUBLINGS));
+                record.count += 1;
             }
             if now < offer.want.until {
                 self.wants.push(offer.want);
@@ -195,7 +195,10 @@
         if !self.wants.is_empty() {
             reserved = self.kept;
         }
-        let others = self.offers.iter().filter(|o| Some(o.want.owner) != except);
+        let others = self
+            .reservations
+            .iter()
+            .filter(|o| Some(o.want.owner) != except);
         for offer in others {
             reserved.add(offer.want.want.need);
         }
@@ -250,7 +253,7 @@
             if may_start {
                 taken.add(need);
                 let until = now + OFFER_TIME;
-                self.offers.push(Offer { want: open, until });
+                self.reservations.push(Offer { want: open, until });
                 // The task that capacity is kept for comes before all that follow it.
                 self.wants.remove(at);
                 decisions.push(Decision::Offered(open));
@@ -298,7 +301,7 @@
             return None;
         }
         let mut ends = ends();
-        let offered = self.offers.iter();
+        let offered = self.reservations.iter();
         ends.extend(offered.map(|o| (o.until + o.want.want.length, o.want.want.need)));
         ends.sort_unstable_by_key(|(at, _)| *at);
         for (at, freed) in ends {
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -217,7 +217,7 @@
             self.log_restart(now, key, run, id, former);
         }
         let nominal = self.nominal_length(job, key);
-        self.asked.note_start(key, id);
+        self.asked.note_start(key, job.need(key), id);
         let suspect = self.suspects.runs_apart(now, key);
         let worker = &mut self.workers[id.0];
         let placed = PlacedRun {
@@ -301,11 +301,11 @@
         now: Millis,
         evacuated: &'a [String],
         definition: &'a JobDefinition,
-        queue: &'a Option<QueueKey>,
+        queue: Option<&'a QueueKey>,
         key: TaskId,
     ) -> Option<WorkerFilter<'a>> {
         let step = definition.step(key)?;
-        let compartment = queue.as_ref().and_then(|q| self.compartment_of(q, step));
+        let compartment = queue.and_then(|q| self.compartment_of(q, step));
         Some(WorkerFilter {
             evacuated,
             service: &definition.settings.service,
@@ -328,7 +328,7 @@
         avoid: Option<WorkerId>,
     ) -> Option<WorkerId> {
         let queue = self.queue_if_divided(definition);
-        let filter = self.worker_filter(now, evacuated, definition, &queue, key)?;
+        let filter = self.worker_filter(now, evacuated, definition, queue.as_ref(), key)?;
         let (step, is_suspect) = (filter.step, filter.is_suspect);
         let mut best: Option<(f64, WorkerId)> = None;
         let mut best_ejected: Option<(f64, WorkerId)> = None;
--- a/tests/patterns/look_ahead.rs
+++ b/tests/patterns/look_ahead.rs
@@ -18,7 +18,7 @@
     let mut config = config(2);
     config.queues[0].settings.target = Millis(10_000);
     let mut second = config.queues[0].clone();
-    second.prefix = "/second/".to_owned();
+    "/second/".clone_into(&mut second.prefix);
     second.settings.priority = 1;
     config.queues.push(second);
     let config = Arc::new(config);
--- a/tests/patterns/order_across_entries.rs
+++ b/tests/patterns/order_across_entries.rs
@@ -208,10 +208,9 @@
     let cores = AGENTS as u64 * 4 * 3 / 2;
     callers.send_mix(cores, 8_000);
     callers.fleet.run(WAIT_MS);
-    for priority in 0..3 {
+    for (priority, usual) in TASKS.into_iter().enumerate() {
         let of_queue = |sent: &Sent| sent.priority == priority;
         let (count, all) = callers.served(of_queue);
-        let usual = TASKS[priority];
         let (_, large) = callers.served(|s| of_queue(s) && s.tasks == usual * 3);
         let (_, next) = callers.served(|s| of_queue(s) && s.tasks == usual * 3 / 2);
         println!("priority {priority}: {all} of 100 of {count}, large {large}, next {next}");
