Name where a worker's usage figure comes from, and why a job was admitted

The source of the usage figure and the reason of admission are enums instead. No change of behaviour.

--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -58,7 +58,7 @@
     /// comes first, as it would find no capacity otherwise.
     pub(crate) fn rank(&self, now: Millis, job: &LiveJob) -> Rank {
         let rank = self.demand.rank(now, job);
-        if !job.is_due_share {
+        if !job.is_due_share() {
             return rank;
         }
         let first = self.waiting.first();
@@ -103,7 +103,7 @@
         queue.note(now, class, verdict.is_ok(), &mut service.shares);
         match verdict {
             Ok(reason) => {
-                job.is_due_share = reason == Admitted::Share;
+                job.admitted = Some(reason);
                 service.load.record_waiting(rank, work);
             }
             Err(_) => service.returning.add(now, work),
@@ -122,7 +122,7 @@
     pub(crate) fn waiting_refusal(&self, now: Millis, id: JobId) -> Option<Refused> {
         let job = self.jobs.get(&id)?;
         let service = self.load.services.get(&job.definition.settings.service);
-        let expected = service.filter(|_| !job.is_due_share).and_then(|service| {
+        let expected = service.filter(|_| !job.is_due_share()).and_then(|service| {
             let rank = self.demand.rank(now, job);
             service.load.expect(rank, job.remaining_work())
         });
@@ -208,7 +208,7 @@
         };
         let tasks = job.tasks.iter().flatten();
         let has_several = tasks.filter(|t| t.is_startable()).nth(1).is_some();
-        if !has_several || job.is_due_share || job.may_have_run() {
+        if !has_several || job.is_due_share() || job.may_have_run() {
             return true;
         }
         let (times, overloaded) = (self.times_of(job), load.is_overloaded(rate));
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -462,7 +462,7 @@
         }
         if !self.dispatcher.has_job(id)
             && let Some(reply) =
-                self.admit(now, &incoming, id, OpenJob::new(settings.clone(), spec))
+                self.admit(now, &incoming, id, &OpenJob::new(settings.clone(), spec))
         {
             return Some(reply);
         }
@@ -484,12 +484,12 @@
         now: Millis,
         incoming: &IncomingCall,
         id: JobId,
-        job: OpenJob,
+        job: &OpenJob,
     ) -> Option<CallReply> {
         let token = incoming.token;
         let mut live = self
             .dispatcher
-            .new_job(incoming.received_at, incoming.deadline, id, &job);
+            .new_job(incoming.received_at, incoming.deadline, id, job);
         let tasks: usize = job.tasks.iter().map(Vec::len).sum();
         let wait_ms = incoming.deadline.since(now).0;
         let (verdict, wait) = self
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -434,7 +434,7 @@
         };
         let mut any = false;
         for (rank, id) in &mut self.waiting {
-            if self.jobs.get(id).is_some_and(|job| job.is_due_share) {
+            if self.jobs.get(id).is_some_and(LiveJob::is_due_share) {
                 *rank = first;
                 any = true;
             }
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::load::admission::Admitted;
 use super::replicated_state::OpenJob;
 use super::run_trace::FormerRun;
 use super::spec::{JobDefinition, JobStatus, Resources, RunId, Step, TaskId};
@@ -83,9 +84,8 @@
     pub(crate) has_lost_run: bool,
     /// When the last of its callers must be answered; the largest time for a stored job.
     pub(crate) deadline: Millis,
-    /// It was admitted for the share of its queue or size: it comes first, and is not refused for
-    /// what it is expected to wait.
-    pub(crate) is_due_share: bool,
+    /// Why an entry admitted it; `None` for a stored job.
+    pub(crate) admitted: Option<Admitted>,
     /// Time allowed from `received_at` to the end, and the part of it that the critical path takes.
     objective: Millis,
     critical_path: Millis,
@@ -120,7 +120,7 @@
             started: job.has_begun(),
             has_lost_run: false,
             deadline: Millis(u64::MAX),
-            is_due_share: false,
+            admitted: None,
             critical_path,
         }
     }
@@ -138,6 +138,12 @@
         }
     }
 
+    /// True if it was admitted for the share of its queue or size: it comes first, and is not refused
+    /// for what it is expected to wait.
+    pub(crate) fn is_due_share(&self) -> bool {
+        self.admitted == Some(Admitted::Share)
+    }
+
     /// End of its objective.
     pub(crate) fn objective_at(&self) -> Millis {
         self.received_at + self.objective
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -188,8 +188,8 @@
         let worker = &mut self.workers[id.0];
         worker.set_server(server);
         worker.has_inventory = true;
-        if is_entry && !worker.is_usage_known {
-            worker.other_usage = assumed.unwrap_or_default();
+        if is_entry {
+            worker.assume_usage(assumed.unwrap_or_default());
         }
         // A report follows if it still is.
         worker.ejected = false;
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// Where the figure of what other dispatchers use comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UsageSource {
+    /// The agent has reported nothing yet.
+    Assumed,
+    /// Still assumed; what the agent first reported counts from this time on.
+    First(Millis, Resources),
+    /// The agent's latest report.
+    Reported,
+}
+
 /// A worker, known by the name of its agent.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -76,10 +87,7 @@
     /// Resources used by this dispatcher's runs, and by those of other dispatchers.
     pub(crate) used: Resources,
     pub(crate) other_usage: Resources,
-    /// The agent has reported what other dispatchers use.
-    pub(crate) is_usage_known: bool,
-    // What an agent first reported, and when that counts.
-    first_usage: Option<(Millis, Resources)>,
+    usage_source: UsageSource,
     pub(crate) runs: Table<(TaskId, RunId), PlacedRun>,
     /// Number of runs here whose tasks are suspected of a crash.
     pub(crate) suspects: u32,
@@ -119,8 +127,7 @@
             server: None,
             used: Resources::default(),
             other_usage: Resources::default(),
-            is_usage_known: false,
-            first_usage: None,
+            usage_source: UsageSource::Assumed,
             runs: Table::default(),
             suspects: 0,
             last_heard_at: now,
@@ -248,21 +255,29 @@
     /// A first report of less than was assumed counts a while later: it comes before the first
     /// orders of the other entries, and goes to all of them.
     pub(crate) fn set_other_usage(&mut self, now: Millis, usage: Resources) -> bool {
-        let is_first = !std::mem::replace(&mut self.is_usage_known, true);
-        if is_first && self.other_usage.exceeds(usage) {
-            self.first_usage = Some((now + FULL_FOR, usage));
+        if self.usage_source == UsageSource::Assumed && self.other_usage.exceeds(usage) {
+            self.usage_source = UsageSource::First(now + FULL_FOR, usage);
             return false;
         }
-        self.first_usage = None;
+        self.usage_source = UsageSource::Reported;
         let was_full = self.full_until > Millis(0);
         let former = std::mem::replace(&mut self.other_usage, usage);
         self.full_until = Millis(0);
         was_full || former.exceeds(usage)
     }
 
+    /// Sets what other dispatchers are assumed to use, unless the agent has reported it.
+    pub(crate) fn assume_usage(&mut self, usage: Resources) {
+        if self.usage_source == UsageSource::Assumed {
+            self.other_usage = usage;
+        }
+    }
+
     /// Applies an agent's first report once it is due.
     pub(crate) fn apply_first_usage(&mut self, now: Millis) {
-        if let Some((_, usage)) = self.first_usage.filter(|(at, _)| now >= *at) {
+        if let UsageSource::First(at, usage) = self.usage_source
+            && now >= at
+        {
             self.set_other_usage(now, usage);
         }
     }
