--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -467,7 +467,7 @@
         if !self.dispatcher.has_job(id) {
             let job = OpenJob::new(settings.clone(), spec);
             let slow = self.refuse_if_slow(now, &incoming, id, &job);
-            if let Some(reply) = slow.or_else(|| self.admit(now, &incoming, id, job)) {
+            if let Some(reply) = slow.or_else(|| self.admit(now, &incoming, id, &job)) {
                 return Some(reply);
             }
         }
@@ -489,12 +489,12 @@
         now: Millis,
         incoming: &IncomingCall,
         id: JobId,
-        job: OpenJob,
+        job: &OpenJob,
     ) -> Option<CallReply> {
         let token = incoming.token;
         let mut live = self
             .dispatcher
-            .new_job(incoming.received_at, incoming.deadline, id, &job);
+            .new_job(incoming.received_at, incoming.deadline, id, job);
         let tasks: usize = job.tasks.iter().map(Vec::len).sum();
         let wait_ms = incoming.deadline.since(now).0;
         let (verdict, wait) = self
