--- a/src/dispatch/load/admission.rs
+++ b/src/dispatch/load/admission.rs
@@ -24,8 +24,8 @@
 /// at times as well, since an entry learns late of capacity that others have freed.
 const OVERLOAD_PART: f64 = 0.75;
 /// Largest part of the starts that is assumed to go to later arrivals which come before a job. The
-/// rates are uncertain: with a wait without bound from the full rate on, half of the capacity
-/// stayed unused.
+/// rates are uncertain; where all that arrives is started they are equal, and a wait without bound
+/// would depend on noise.
 const MAX_OVERTAKING: f64 = 0.75;
 /// Sizes of this many recent jobs of a queue are kept, to tell its largest ones.
 const MAX_SIZES: usize = 100;
