--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -11,7 +11,7 @@
 
 use super::agent_calls::max_lease_duration;
 use super::agent_crashes::{CrashLog, Loss};
-use super::agent_run::{AgentRun, RetainedEnd, RunPhase};
+use super::agent_run::{AgentRun, EndList, RetainedEnd, RunPhase};
 use super::answer_times::AnswerTimes;
 use super::dispatcher_link::{DispatcherLink, Owner};
 use super::ejection::Ejection;
@@ -115,8 +115,7 @@
     // under which it did; `None` until one answer had all ends that waited there, as runs that this
     // agent does not know may be among the rest.
     pub(crate) listed_under: Option<(u64, Term)>,
-    // The newest list of ends may be incomplete.
-    pub(crate) may_have_more_ends: bool,
+    pub(crate) end_list: EndList,
     pub(crate) dispatchers: Table<Owner, DispatcherLink>,
     // The evacuated data centres, and the index of the replicated log at which they were set.
     pub(crate) evacuated_index: u64,
@@ -177,7 +176,7 @@
             term: Term(0),
             min_token: 0,
             listed_under: None,
-            may_have_more_ends: false,
+            end_list: EndList::Complete,
             dispatchers: Table::default(),
             evacuated_index: 0,
             evacuated: Vec::new(),
@@ -377,7 +376,7 @@
         self.min_token = 0;
         self.server_clock = None;
         self.listed_under = None;
-        self.may_have_more_ends = false;
+        self.end_list = EndList::Complete;
         self.ejection = Ejection::default();
         self.answer_times = AnswerTimes::new();
         self.report_to_informed(&AgentReport::Server(None), out);
@@ -565,7 +564,7 @@
         let is_done = |end: &&RetainedEnd| end.recorded || end.may_be_confirmed(now);
         let done = self.ends.iter().take_while(is_done).count();
         let leading = &self.ends[..done];
-        let confirmed = if self.may_have_more_ends {
+        let confirmed = if self.end_list == EndList::Cut {
             leading.last()
         } else {
             // Nothing waits behind the ends after the last recorded one.
--- a/src/dispatch/agent_calls.rs
+++ b/src/dispatch/agent_calls.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::agent::{PendingCall, ServerAgent, ServerAgentOutput};
-use super::agent_run::RunPhase;
+use super::agent_run::{EndList, RunPhase};
 use super::dispatcher_link::Owner;
 use super::guard::JobGuard;
 use super::server_call::{CallId, ServerCall, ServerCallKind, ServerReply};
@@ -75,7 +75,7 @@
         let limiting_ends = self.ends.iter().filter(|end| end.limits_lease());
         let owners = run_owners.chain(limiting_ends.map(|end| end.owner));
         // Ends that are not listed yet may be those of stored jobs' tasks.
-        let has_unknown_ends = self.may_have_more_ends && self.listed_under.is_none();
+        let has_unknown_ends = self.end_list == EndList::Cut && self.listed_under.is_none();
         let owners = owners.chain(has_unknown_ends.then_some(Owner::Group));
         let grant_expiry = |owner: Owner| {
             let dispatcher = self.dispatchers.get(&owner);
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -3,7 +3,7 @@
 use super::agent::{PendingCall, ServerAgent, ServerAgentOutput};
 use super::agent_calls::MAX_CALL_DELAY;
 use super::agent_crashes::Loss;
-use super::agent_run::{AgentRun, RetainedEnd, RunPhase};
+use super::agent_run::{AgentRun, EndList, RetainedEnd, RunPhase};
 use super::dispatcher_link::Owner;
 use super::guard::JobGuard;
 use super::replicated_state::RunEnd;
@@ -204,7 +204,11 @@
         // Answers may arrive out of order; an older one may list runs that have ended since.
         if sent_at >= self.listed_as_of {
             self.listed_as_of = sent_at;
-            self.may_have_more_ends = listing.may_have_more_ends;
+            self.end_list = if listing.may_have_more_ends {
+                EndList::Cut
+            } else {
+                EndList::Complete
+            };
             self.update_running(now, sent_at, &listing, out);
         }
         self.assign_inherited();
--- a/src/dispatch/agent_run.rs
+++ b/src/dispatch/agent_run.rs
@@ -101,6 +101,14 @@
     }
 }
 
+/// Whether the newest list of ends had all that wait at the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndList {
+    Complete,
+    /// There may be further ends.
+    Cut,
+}
+
 /// An end that no entry has recorded may be confirmed to the backend server after this long, if the
 /// ends of other dispatchers wait behind it. Entries record within two hops and one of their turns.
 const CONFIRM_AFTER: Millis = Millis(100);
--- a/tests/long_lists_of_ends.rs
+++ b/tests/long_lists_of_ends.rs
@@ -118,14 +118,14 @@
 
 /// The last hold call in `outputs`, and the number of the last end that it acknowledges.
 fn last_hold(outputs: &[ServerAgentOutput]) -> Option<(&ServerCall, u64)> {
-    let holds = outputs.iter().filter_map(|output| match output {
+    let mut holds = outputs.iter().filter_map(|output| match output {
         ServerAgentOutput::Call(call) => match call.kind {
             ServerCallKind::Hold { acknowledged, .. } => Some((call, acknowledged)),
             _ => None,
         },
         ServerAgentOutput::Report(..) => None,
     });
-    holds.last()
+    holds.next_back()
 }
 
 fn hold_reply(numbers: std::ops::RangeInclusive<u64>, may_have_more_ends: bool) -> ServerReply {
