--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -273,7 +273,7 @@
 fn two_queues(version: u64, service: &str) -> Call {
     let mut config = config(version);
     let mut other = config.queues[0].clone();
-    other.prefix = "/other/".to_owned();
+    "/other/".clone_into(&mut other.prefix);
     config.queues.push(other);
     service.clone_into(&mut config.queues[0].settings.service);
     Call::PutConfig(Some(config))
