Admission: only admitted work overtakes, and a begun job starts at the rate of all workers

With the orders of the service's entries decided by urgency, a job that has begun comes first at all workers, so the time to start its tasks does not follow from the entry's own rate. Refused work overtakes nothing.

--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -81,7 +81,6 @@
         let times = self.times_of(job);
         let unplaced = self.unplaced_work(now, evacuated, job);
         let service = self.load.service(now, &key.0);
-        service.load.record_arrival(now, rank, work);
         let expected = service.load.expect(rank, unplaced);
         let queue = self
             .load
@@ -102,6 +101,9 @@
             Some(reason) => Err(reason),
         };
         queue.note(now, class, verdict.is_ok(), &mut service.shares);
+        service
+            .load
+            .record_arrival(now, rank, work, verdict.is_ok());
         match verdict {
             Ok(reason) => {
                 job.admitted = Some(reason);
@@ -213,7 +215,8 @@
             return true;
         }
         let (times, overloaded) = (self.times_of(job), load.is_overloaded(rate));
-        let may_begin = |rest: f64| whole_jobs::may_begin(now, times, rest, rate, overloaded);
+        let may_begin =
+            |rest: f64| whole_jobs::may_begin(now, times, rest, load.begun_rate(rate), overloaded);
         // Free capacity is looked for only if it matters: that takes a look at every worker. A task
         // that is known to find none needs no look either.
         let first = TaskId {
@@ -360,16 +363,17 @@
             }
         }
         for (name, service) in self.load.services.iter_mut() {
-            let (mut held, mut fastest) = (0.0, 1.0_f64);
+            let (mut held, mut capacity, mut fastest) = (0.0, 0.0, 1.0_f64);
             for worker in &self.workers {
                 let server = worker.server.as_ref().filter(|s| s.service == *name);
-                if server.is_some() {
+                if let Some(server) = server {
                     held += f64::from(worker.used.cpu) / CPU_UNIT;
+                    capacity += f64::from(server.capacity.cpu) / CPU_UNIT;
                     fastest = fastest.min(worker.pace);
                 }
             }
             let waiting = rows.remove(name).unwrap_or_default();
-            service.load.update(now, waiting, held);
+            service.load.update(now, waiting, held, capacity);
             service.fastest = fastest;
         }
     }
--- a/src/dispatch/load/admission.rs
+++ b/src/dispatch/load/admission.rs
@@ -167,15 +167,27 @@
     // Work started while other work waited, and for how long some waited; both decay.
     started: f64,
     waited_ms: f64,
-    arrivals: VecDeque<(Millis, Urgency, f64)>,
-    // What has arrived within the window, and what waits, as of the latest update.
-    arrived: RankedWork,
+    arrivals: VecDeque<Arrival>,
+    // What has arrived within the window, what of it was admitted, and what waits, as of the latest
+    // update.
+    arrived: f64,
+    admitted: RankedWork,
     waiting: RankedWork,
     // Since the latest update: jobs that were admitted, and work that was started.
     added: Vec<(Urgency, f64)>,
     started_since: f64,
-    // Cores that this entry's runs hold.
+    // Cores that this entry's runs hold, and cores of all workers.
     held: f64,
+    capacity: f64,
+}
+
+/// Work that arrived.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    at: Millis,
+    rank: Urgency,
+    work: f64,
+    admitted: bool,
 }
 
 impl ServiceLoad {
@@ -185,20 +197,27 @@
             started: 0.0,
             waited_ms: 0.0,
             arrivals: VecDeque::new(),
-            arrived: RankedWork::default(),
+            arrived: 0.0,
+            admitted: RankedWork::default(),
             waiting: RankedWork::default(),
             added: Vec::new(),
             started_since: 0.0,
             held: 0.0,
+            capacity: 0.0,
         }
     }
 
-    /// Notes a job that arrived, whether it is admitted or not.
-    pub(crate) fn record_arrival(&mut self, now: Millis, rank: Urgency, work: f64) {
+    /// Notes a job that arrived, and whether it was admitted.
+    pub(crate) fn record_arrival(&mut self, at: Millis, rank: Urgency, work: f64, admitted: bool) {
         if self.arrivals.len() >= MAX_ARRIVALS {
             self.arrivals.pop_front();
         }
-        self.arrivals.push_back((now, rank, work));
+        self.arrivals.push_back(Arrival {
+            at,
+            rank,
+            work,
+            admitted,
+        });
     }
 
     /// Notes that a job waits here from now on.
@@ -220,8 +239,15 @@
         self.started_since -= work;
     }
 
-    /// Replaces what is known of the work that waits, and of the cores that this entry's runs hold.
-    pub(crate) fn update(&mut self, now: Millis, waiting: Vec<(Urgency, f64)>, held: f64) {
+    /// Replaces what is known of the work that waits, and of the cores that this entry's runs hold
+    /// and all workers have.
+    pub(crate) fn update(
+        &mut self,
+        now: Millis,
+        waiting: Vec<(Urgency, f64)>,
+        held: f64,
+        capacity: f64,
+    ) {
         let elapsed = now.since(self.updated_at).as_f64();
         let decay = (-elapsed / START_DECAY_MS).exp();
         self.updated_at = now;
@@ -230,17 +256,20 @@
         if self.waiting.total() > 0.0 {
             self.waited_ms += elapsed;
         }
-        while let Some((at, ..)) = self.arrivals.front()
-            && now.since(*at) > ARRIVAL_WINDOW
+        while let Some(arrival) = self.arrivals.front()
+            && now.since(arrival.at) > ARRIVAL_WINDOW
         {
             self.arrivals.pop_front();
         }
-        let rows = self.arrivals.iter().map(|(_, rank, work)| (*rank, *work));
-        self.arrived = RankedWork::new(rows.collect());
+        self.arrived = self.arrivals.iter().map(|arrival| arrival.work).sum();
+        let admitted = self.arrivals.iter().filter(|arrival| arrival.admitted);
+        let rows = admitted.map(|arrival| (arrival.rank, arrival.work));
+        self.admitted = RankedWork::new(rows.collect());
         self.waiting = RankedWork::new(waiting);
         self.added.clear();
         self.started_since = 0.0;
         self.held = held;
+        self.capacity = capacity;
     }
 
     /// Work that waits here and comes before this rank.
@@ -262,19 +291,26 @@
 
     /// True while more work arrives here than is started.
     pub(crate) fn is_overloaded(&self, rate: f64) -> bool {
-        let arrivals = self.arrived.total() / self.window_ms();
+        let arrivals = self.arrived / self.window_ms();
         arrivals >= rate && self.waited_ms >= START_DECAY_MS * OVERLOAD_PART
     }
 
-    /// Cores' worth of work that arrives here and comes before this rank.
+    /// Cores' worth of work that is admitted here and comes before this rank. What is refused
+    /// overtakes nothing.
     pub(crate) fn arrival_rate_before(&self, rank: Urgency) -> f64 {
-        self.arrived.before(rank) / self.window_ms()
+        self.admitted.before(rank) / self.window_ms()
+    }
+
+    /// Cores' worth of work that can start of a job that has begun: its tasks come first at all
+    /// workers.
+    pub(crate) fn begun_rate(&self, rate: f64) -> f64 {
+        rate.max(self.capacity)
     }
 
     fn window_ms(&self) -> f64 {
         let is_full = self.arrivals.len() >= MAX_ARRIVALS;
         let oldest = self.arrivals.front().filter(|_| is_full);
-        let window = oldest.map_or(ARRIVAL_WINDOW, |(at, ..)| self.updated_at.since(*at));
+        let window = oldest.map_or(ARRIVAL_WINDOW, |arrival| self.updated_at.since(arrival.at));
         window.as_f64().max(1.0)
     }
 
@@ -284,7 +320,9 @@
         let rate = self.start_rate()?;
         let overtaking = self.arrival_rate_before(rank).min(rate * MAX_OVERTAKING);
         Some(Expectation {
-            wait: to_millis(self.work_before(rank) / (rate - overtaking) + work / rate),
+            wait: to_millis(
+                self.work_before(rank) / (rate - overtaking) + work / self.begun_rate(rate),
+            ),
             overloaded: self.is_overloaded(rate),
         })
     }
