Admission: expected waits do not count later arrivals

An entry with many callers refused more than others, asked for less capacity and got less: with 13 times the load of another it served 50 of 100 jobs, that one 93 to 97.

--- a/src/dispatch/load/admission.rs
+++ b/src/dispatch/load/admission.rs
@@ -23,10 +23,6 @@
 /// Part of the recent time in which work must have waited for an overload. Below capacity work waits
 /// at times as well, since an entry learns late of capacity that others have freed.
 const OVERLOAD_PART: f64 = 0.75;
-/// Largest part of the starts that is assumed to go to later arrivals which come before a job. The
-/// rates are uncertain; where all that arrives is started they are equal, and a wait without bound
-/// would depend on noise.
-const MAX_OVERTAKING: f64 = 0.75;
 /// Sizes of this many recent jobs of a queue are kept, to tell its largest ones.
 const MAX_SIZES: usize = 100;
 /// Parts of a queue's jobs, in percent, that are smaller than the largest tenth, and than those and
@@ -318,11 +314,10 @@
     /// started; `None` without recent starts to judge by.
     pub(crate) fn expect(&self, rank: Urgency, work: f64) -> Option<Expectation> {
         let rate = self.start_rate()?;
-        let overtaking = self.arrival_rate_before(rank).min(rate * MAX_OVERTAKING);
+        // Later arrivals overtake as well. To count them at their rate makes an entry with many
+        // callers refuse more than others, and so ask for and get less than its share.
         Some(Expectation {
-            wait: to_millis(
-                self.work_before(rank) / (rate - overtaking) + work / self.begun_rate(rate),
-            ),
+            wait: to_millis(self.work_before(rank) / rate + work / self.begun_rate(rate)),
             overloaded: self.is_overloaded(rate),
         })
     }
