--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod accessors;
 pub(crate) mod command;
+pub(crate) mod compact;
 pub(crate) mod elect;
 pub(crate) mod follower;
 pub(crate) mod follower_metrics;
