Skip a list of runs that is older than a known end

What callers saw: nothing that was recorded. A worker was given no runs for a while, as runs that had ended well were reported as not started; orders of an entry were denied as the lease had no length; a new leader got runs that had ended.

Cause: two hold calls may be open at a time. The later one can be executed first, and its answer can arrive last. It then lists a run as running whose end the other answer has shown. The agent took it for a run of an earlier incarnation of itself, and the next list, which lacked it, for a run that was gone.

Evidence: tests/hold_answers.rs, on the former code: NotStarted for a run that had ended done, failed or lost; an inventory for a new leader with a run that had ended; a start denied as Closed. All four tests failed before and pass now. The dispatcher takes a report of a run only if it is the current one, so that no task was seen to run twice by this. An inventory with such a run could still have a new leader stop the task's current run; that is from reading.

Change: a list is skipped, but for the server's clock, if its call was made before the newest end was known and the list lacks that end. An agent that has restarted does not take such a list for a whole one, as runs whose ends wait behind a long list would be missing from its inventory.

--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -134,6 +134,9 @@
     // may forget.
     pub(crate) last_known_end: u64,
     pub(crate) acknowledged_end: u64,
+    // The last call that was made before the newest end became known. Answers to it and to earlier
+    // calls may list that run as running.
+    pub(crate) end_call: CallId,
     pub(crate) pending: Table<CallId, PendingCall>,
     pub(crate) last_call: CallId,
     pub(crate) open_holds: u32,
@@ -192,6 +195,7 @@
             ends: Vec::new(),
             last_known_end: 0,
             acknowledged_end: 0,
+            end_call: CallId(0),
             pending: Table::default(),
             last_call: CallId(0),
             open_holds: 0,
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -64,7 +64,7 @@
                 if reply == ServerReply::OtherInstance && life == self.life() {
                     self.replace_server(now, out);
                 } else if life == self.life() {
-                    self.on_hold_reply(now, sent_at, term, reply, out);
+                    self.on_hold_reply(now, (id, sent_at), term, reply, out);
                 }
             }
         }
@@ -150,7 +150,7 @@
     pub(crate) fn on_hold_reply(
         &mut self,
         now: Millis,
-        sent_at: Millis,
+        (id, sent_at): (CallId, Millis),
         term: Term,
         reply: ServerReply,
         out: &mut Vec<ServerAgentOutput>,
@@ -197,12 +197,13 @@
             self.lease_expires_at = self.lease_expires_at.max(until);
             Term(0)
         };
-        if !listing.may_have_more_ends || self.listed_under.is_some() {
+        let is_outdated = self.is_outdated(id, &listing);
+        if self.listed_under.is_some() || !(listing.may_have_more_ends || is_outdated) {
             self.listed_under = Some((life, term.max(former_term)));
         }
         self.record_new_ends(now, &listing, out);
         // Answers may arrive out of order; an older one may list runs that have ended since.
-        if sent_at >= self.listed_as_of {
+        if sent_at >= self.listed_as_of && !is_outdated {
             self.listed_as_of = sent_at;
             self.end_list = if listing.may_have_more_ends {
                 EndList::Cut
@@ -221,6 +222,13 @@
         }
     }
 
+    /// True if a list may be from before the newest known end. The backend server may execute calls in
+    /// another order than they were made, and its answers may overtake each other.
+    fn is_outdated(&self, id: CallId, listing: &HoldReply) -> bool {
+        let newest = listing.ended.last().map_or(0, |(number, ..)| *number);
+        id <= self.end_call && newest < self.last_known_end
+    }
+
     /// Another incarnation has answered in place of the present one, which has ended. The one that was
     /// announced takes its place.
     fn replace_server(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
@@ -262,7 +270,10 @@
                 recorded: false,
             });
         }
-        self.usage_report_due |= first_new < self.ends.len();
+        if first_new < self.ends.len() {
+            self.usage_report_due = true;
+            self.end_call = self.last_call;
+        }
         let mut by_owner: Table<Owner, Vec<(u64, RunEnd)>> = Table::default();
         for end in &self.ends[first_new..] {
             let rows = by_owner.or_insert_with(end.owner, Vec::new);
