Log when a backend server's list of ends is cut, and by whose end

E520 end-list is written when the list becomes full or whole again, with the first end that is not recorded and its dispatcher.

--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -205,11 +205,7 @@
         // Answers may arrive out of order; an older one may list runs that have ended since.
         if sent_at >= self.listed_as_of && !is_outdated {
             self.listed_as_of = sent_at;
-            self.end_list = if listing.may_have_more_ends {
-                EndList::Cut
-            } else {
-                EndList::Complete
-            };
+            self.update_end_list(&listing);
             self.update_running(now, sent_at, &listing, out);
         }
         self.assign_inherited();
@@ -229,6 +225,26 @@
         id <= self.end_call && newest < self.last_known_end
     }
 
+    fn update_end_list(&mut self, listing: &HoldReply) {
+        let list = if listing.may_have_more_ends {
+            EndList::Cut
+        } else {
+            EndList::Complete
+        };
+        if list != self.end_list {
+            let first = self.ends.iter().find(|end| !end.recorded);
+            events::END_LIST.log(format_args!(
+                "life={} list={list:?} runs={} unconfirmed={} first={:?} owner={:?}",
+                self.life(),
+                self.runs.len(),
+                self.last_known_end.saturating_sub(self.acknowledged_end),
+                first.map(|end| end.number),
+                first.map(|end| end.owner)
+            ));
+        }
+        self.end_list = list;
+    }
+
     /// Another incarnation has answered in place of the present one, which has ended. The one that was
     /// announced takes its place.
     fn replace_server(&mut self, now: Millis, out: &mut Vec<ServerAgentOutput>) {
--- a/src/events.rs
+++ b/src/events.rs
@@ -131,6 +131,8 @@
     OFFER_LAPSED = 518 Info "offer-lapsed";
     /// An agent reports its worker's pace to a dispatcher.
     PACE = 519 Info "pace";
+    /// A backend server's list of ends is as long as it can be, or is whole again.
+    END_LIST = 520 Info "end-list";
     /// A new leader took over all open jobs.
     TAKE_OVER = 600 Info "take-over";
     /// Agents did not reconnect after a takeover; their runs must have ended by now.
