--- a/tests/hold_answers.rs
+++ b/tests/hold_answers.rs
@@ -260,3 +260,35 @@
     assert_eq!(numbers, (501..=600).collect::<Vec<u64>>());
     assert_eq!(agent.inventory(), Some(Vec::new()));
 }
+
+#[test]
+fn a_stopped_start_whose_end_is_behind_a_full_list_is_not_denied() {
+    let (first, key) = ((task(0), RunId(5)), (task(1), RunId(6)));
+    let (mut agent, earlier, _) = agent_with_a_run(Owner::Group, first);
+    agent.order_start(Owner::Group, key);
+    let start = agent.start_call().unwrap();
+    agent.step(ServerAgentInput::Replied(start, ServerReply::NoAnswer));
+    let hold = agent.hold().unwrap();
+    // The start was executed, and the run has ended. Its end is not in the list yet.
+    let done = (1, first, RunOutcome::Done);
+    agent.answer_up_to(hold, &[], &[done], true);
+    // That call was made when the start was given up. The next list decides about it.
+    let hold = agent.next_hold();
+    agent.answer_up_to(hold, &[], &[done], true);
+    let stop = agent.call(|kind| matches!(kind, ServerCallKind::Stop { .. }));
+    agent.step(ServerAgentInput::Replied(
+        stop.unwrap(),
+        ServerReply::Stopped,
+    ));
+    let hold = agent.hold().unwrap();
+    agent.answer_up_to(hold, &[], &[done], true);
+    let is_denial = |r: &&AgentReport| matches!(r, AgentReport::NotStarted { .. });
+    assert_eq!(agent.reports().into_iter().find(is_denial), None);
+    agent.answer(earlier, &[], &[done, (2, key, RunOutcome::Done)]);
+    let is_end = |report: &&AgentReport| {
+        matches!(report, AgentReport::Ends { ends, .. }
+        if ends.iter().any(|(_, end)| end.run == key.1 && end.outcome == RunOutcome::Done))
+    };
+    assert!(agent.reports().iter().any(is_end));
+    assert_eq!(agent.reports().into_iter().find(is_denial), None);
+}
--- a/tests/long_lists_of_ends.rs
+++ b/tests/long_lists_of_ends.rs
@@ -21,28 +21,49 @@
 const COMPLETED: CallReply = CallReply::State(JobStatus::Completed);
 /// More than two lists hold.
 const TASKS: u32 = 1_200;
+/// As many ends as a list holds.
+const LIST: u32 = 500;
 /// Duration of a run, in milliseconds.
 const WORK: u64 = 300;
 
 /// A group whose backend server runs all tasks of a stored job.
 fn group_with_a_wide_job() -> TestGroup {
+    group_with_a_job(TASKS)
+}
+
+fn group_with_a_job(tasks: u32) -> TestGroup {
     let mut group = TestGroup::new(WORK);
-    group.server.enlarge(TASKS);
+    group.server.enlarge(tasks);
     group.run(300);
-    let spec = job(TASKS, WORK, false);
+    let spec = job(tasks, WORK, false);
     assert_eq!(group.ask(&submit(JobId(1), spec)), CallReply::Done);
     group.run(60);
-    assert_eq!(group.server.run_count(), TASKS as usize);
+    assert_eq!(group.server.run_count(), tasks as usize);
     group
 }
 
 /// Checks that each task ran once, and that all ends were recorded.
 fn check_ends(group: &mut TestGroup) {
+    check_ends_of(group, TASKS);
+}
+
+fn check_ends_of(group: &mut TestGroup, tasks: u32) {
     assert_eq!(group.job_status(JobId(1)), COMPLETED);
-    assert_eq!(group.server.spans.len(), TASKS as usize);
+    assert_eq!(group.server.spans.len(), tasks as usize);
     assert_eq!(group.server.end_count(), 0);
 }
 
+/// Lets time pass until the backend server has no more than `left` unconfirmed ends.
+fn confirm_down_to(group: &mut TestGroup, left: usize) {
+    for _ in 0..3_000 {
+        if group.server.run_count() == 0 && group.server.end_count() <= left {
+            return;
+        }
+        group.run(1);
+    }
+    panic!("{} ends are not confirmed", group.server.end_count());
+}
+
 #[test]
 fn ends_that_wait_for_a_leader_are_all_recorded() {
     let mut group = group_with_a_wide_job();
@@ -51,6 +72,60 @@
     check_ends(&mut group);
 }
 
+#[test]
+fn a_list_that_is_just_full_is_read_to_its_end() {
+    for tasks in [LIST - 1, LIST, LIST + 1, 2 * LIST] {
+        let mut group = group_with_a_job(tasks);
+        group.kill(group.leader());
+        group.run(3_000);
+        check_ends_of(&mut group, tasks);
+    }
+}
+
+#[test]
+fn a_second_leader_behind_a_long_list_starts_no_task_again() {
+    for left in [TASKS, TASKS - LIST, LIST] {
+        let mut group = group_with_a_wide_job();
+        let first = group.leader();
+        group.kill(first);
+        group.run(WORK);
+        group.start(first);
+        confirm_down_to(&mut group, left as usize);
+        if group.is_led() {
+            group.kill(group.leader());
+        }
+        group.run(4_000);
+        check_ends(&mut group);
+    }
+}
+
+#[test]
+fn an_agent_that_restarts_without_a_leader_starts_no_task_again() {
+    for at in [0, 100, WORK, 2 * WORK] {
+        let mut group = group_with_a_wide_job();
+        group.kill(group.leader());
+        group.run(at);
+        group.restart_agent();
+        group.run(4_000);
+        assert!(group.runs_each_task_once(), "restarted after {at} ms");
+        assert_eq!(group.job_status(JobId(1)), COMPLETED);
+    }
+}
+
+#[test]
+fn an_agent_that_is_cut_off_behind_a_long_list_starts_no_task_again() {
+    for at in [100, WORK, WORK + 20, WORK + 60] {
+        let mut group = group_with_a_wide_job();
+        group.run(at);
+        group.cut_off_agent();
+        group.run(400);
+        group.reconnect_agent();
+        group.run(4_000);
+        assert!(group.runs_each_task_once(), "cut off after {at} ms");
+        assert_eq!(group.job_status(JobId(1)), COMPLETED);
+    }
+}
+
 #[test]
 fn a_restarted_agent_reads_all_ends_before_it_sends_its_inventory() {
     let mut group = group_with_a_wide_job();
