--- a/src/dispatch/agent.rs
+++ b/src/dispatch/agent.rs
@@ -134,8 +134,8 @@
     // may forget.
     pub(crate) last_known_end: u64,
     pub(crate) acknowledged_end: u64,
-    // The last call that was made before the newest end became known. Answers to it and to earlier
-    // calls may list that run as running.
+    // The last call that was made before the agent learned of the newest end. An answer to it, or to
+    // an earlier call, may still list that run as running.
     pub(crate) end_call: CallId,
     pub(crate) pending: Table<CallId, PendingCall>,
     pub(crate) last_call: CallId,
--- a/src/dispatch/agent_replies.rs
+++ b/src/dispatch/agent_replies.rs
@@ -225,6 +225,7 @@
         id <= self.end_call && newest < self.last_known_end
     }
 
+    /// Stores whether the newest list of ends is whole, and logs when that changes.
     fn update_end_list(&mut self, listing: &HoldReply) {
         let list = if listing.may_have_more_ends {
             EndList::Cut
