--- a/tests/hold_answers.rs
+++ b/tests/hold_answers.rs
@@ -23,13 +23,13 @@
 }
 
 /// An agent of which a test plays the dispatchers and the backend server.
-struct Agent {
+struct Harness {
     agent: ServerAgent,
     now: u64,
     outputs: Vec<ServerAgentOutput>,
 }
 
-impl Agent {
+impl Harness {
     fn new() -> Self {
         Self {
             agent: ServerAgent::new(Times::default()),
@@ -76,11 +76,11 @@
     }
 
     fn call(&self, is_wanted: fn(&ServerCallKind) -> bool) -> Option<CallId> {
-        let calls = self.outputs.iter().filter_map(|output| match output {
+        let mut calls = self.outputs.iter().filter_map(|output| match output {
             ServerAgentOutput::Call(call) if is_wanted(&call.kind) => Some(call.id),
             _ => None,
         });
-        calls.last()
+        calls.next_back()
     }
 
     fn hold(&self) -> Option<CallId> {
@@ -148,8 +148,8 @@
 
 /// An agent with sessions of a leader and an entry, the run that it holds for one of them, and two
 /// open hold calls, the earlier one first.
-fn agent_with_a_run(owner: Owner, key: Listed) -> (Agent, CallId, CallId) {
-    let mut agent = Agent::new();
+fn agent_with_a_run(owner: Owner, key: Listed) -> (Harness, CallId, CallId) {
+    let mut agent = Harness::new();
     let heartbeat = server::FakeServer::new("s0", "dc0", Millis(300)).heartbeat();
     agent.step(ServerAgentInput::Heartbeat(heartbeat));
     let first = agent.hold().unwrap();
@@ -176,7 +176,7 @@
 
 /// The later hold call is executed while the run is there, and the earlier one after its end; the
 /// answer of the earlier one arrives first.
-fn overtake(owner: Owner, key: Listed, outcome: RunOutcome) -> Agent {
+fn overtake(owner: Owner, key: Listed, outcome: RunOutcome) -> Harness {
     let (mut agent, earlier, later) = agent_with_a_run(owner, key);
     agent.answer(earlier, &[], &[(1, key, outcome)]);
     let is_end = |report: &&AgentReport| matches!(report, AgentReport::Ends { .. });
@@ -229,7 +229,7 @@
     let keys: Vec<Listed> = (0..600)
         .map(|i| (task(i), RunId(u64::from(i) + 5)))
         .collect();
-    let mut agent = Agent::new();
+    let mut agent = Harness::new();
     let heartbeat = server::FakeServer::new("s0", "dc0", Millis(300)).heartbeat();
     agent.step(ServerAgentInput::Heartbeat(heartbeat));
     let earlier = agent.hold().unwrap();
