Tests: an entry that is away while its ends are confirmed, and an agent that is lost then

An entry that stands still for 80 to 450 ms behind a long list gets all ends when it is back, and each task ran once. If the agent is restarted as well, confirmed ends are lost with it, and a task may run again; no two of its runs overlap.

--- a/tests/long_lists_of_ends.rs
+++ b/tests/long_lists_of_ends.rs
@@ -185,6 +185,48 @@
     assert_eq!(spans.iter().filter(done).count(), TASKS as usize + 4);
 }
 
+/// An entry with a wide transient job that stands still for `away` ms from before the runs end. Others'
+/// ends wait behind those of its runs, which are confirmed meanwhile if it is away for long.
+fn fleet_with_an_absent_entry(away: u64) -> Fleet {
+    let mut fleet = Fleet::new(2, 1, WORK);
+    fleet.agents[0].server.enlarge(TASKS + 4);
+    fleet.run(300);
+    fleet.call(0, 1, submit(JobId(7), job(TASKS, WORK, true)), 5_000);
+    fleet.run(60);
+    fleet.call(1, 2, submit(JobId(8), job(4, WORK, true)), 5_000);
+    fleet.run(WORK - 100);
+    fleet.entries[0].frozen = true;
+    fleet.run(away);
+    fleet
+}
+
+#[test]
+fn an_entry_that_comes_back_gets_the_ends_that_were_confirmed_meanwhile() {
+    for away in [80, 150, 250, 450] {
+        let mut fleet = fleet_with_an_absent_entry(away);
+        fleet.wake_entry(0);
+        fleet.run(2_000);
+        for (entry, token) in [(0, 1), (1, 2)] {
+            assert_eq!(fleet.answer(entry, token), Some(&COMPLETED), "away {away}");
+        }
+        assert_eq!(fleet.spans().len(), TASKS as usize + 4, "away {away}");
+    }
+}
+
+#[test]
+fn confirmed_ends_that_are_lost_with_their_agent_overlap_no_second_run() {
+    for away in [80, 150, 250, 450] {
+        let mut fleet = fleet_with_an_absent_entry(away);
+        fleet.restart_agent(0);
+        fleet.wake_entry(0);
+        fleet.run(4_000);
+        for (entry, token) in [(0, 1), (1, 2)] {
+            assert_eq!(fleet.answer(entry, token), Some(&COMPLETED), "away {away}");
+        }
+        assert_eq!(fleet.overlaps(), [], "away {away}");
+    }
+}
+
 fn step(agent: &mut ServerAgent, now: u64, input: ServerAgentInput) -> Vec<ServerAgentOutput> {
     let mut out = Vec::new();
     agent.step(Millis(now), input, &mut out);
