Tests: a second list while an end is behind a full one

With the rule for full lists taken out, a_stopped_start_whose_end_is_behind_a_full_list_is_not_denied still passed, as the only list after the stop was of a call made at the same time.

--- a/tests/hold_answers.rs
+++ b/tests/hold_answers.rs
@@ -282,6 +282,8 @@
     ));
     let hold = agent.hold().unwrap();
     agent.answer_up_to(hold, &[], &[done], true);
+    let hold = agent.next_hold();
+    agent.answer_up_to(hold, &[], &[done], true);
     let is_denial = |r: &&AgentReport| matches!(r, AgentReport::NotStarted { .. });
     assert_eq!(agent.reports().into_iter().find(is_denial), None);
     agent.answer(earlier, &[], &[done, (2, key, RunOutcome::Done)]);
