--- a/tests/hold_answers.rs
+++ b/tests/hold_answers.rs
@@ -16,6 +16,8 @@
 const TRANSIENT_RUN: u64 = 1 << 50;
 
 type Listed = (TaskId, RunId);
+/// A row of a list of ends: the number of the end, the run, and how it ended.
+type End = (u64, Listed, RunOutcome);
 
 fn task(index: u32) -> TaskId {
     let (job, step) = (JobId(1), 0);
@@ -45,20 +47,18 @@
         self.agent.step(Millis(self.now), input, &mut self.outputs);
     }
 
-    fn answer(&mut self, id: CallId, running: &[Listed], ended: &[(u64, Listed, RunOutcome)]) {
-        self.answer_up_to(id, running, ended, false);
+    /// Answers a hold call with all ends that wait.
+    fn answer(&mut self, id: CallId, running: &[Listed], ended: &[End]) {
+        self.reply(id, running, ended, false);
     }
 
-    fn answer_up_to(
-        &mut self,
-        id: CallId,
-        running: &[Listed],
-        ended: &[(u64, Listed, RunOutcome)],
-        may_have_more_ends: bool,
-    ) {
-        let row = |(number, (task, run), outcome): &(u64, Listed, RunOutcome)| {
-            (*number, *task, *run, *outcome)
-        };
+    /// Answers a hold call with a full list of ends, behind which others wait.
+    fn answer_with_full_list(&mut self, id: CallId, running: &[Listed], ended: &[End]) {
+        self.reply(id, running, ended, true);
+    }
+
+    fn reply(&mut self, id: CallId, running: &[Listed], ended: &[End], may_have_more_ends: bool) {
+        let row = |(number, (task, run), outcome): &End| (*number, *task, *run, *outcome);
         let listing = HoldReply {
             clock: Millis(5_000 + self.now),
             started_at: Some(LIFE),
@@ -75,6 +75,7 @@
         ));
     }
 
+    /// The last call of a kind that followed from the latest input.
     fn call(&self, is_wanted: fn(&ServerCallKind) -> bool) -> Option<CallId> {
         let mut calls = self.outputs.iter().filter_map(|output| match output {
             ServerAgentOutput::Call(call) if is_wanted(&call.kind) => Some(call.id),
@@ -118,6 +119,7 @@
         self.step(ServerAgentInput::Order(owner, order));
     }
 
+    /// The reports that followed from the latest input.
     fn reports(&self) -> Vec<&AgentReport> {
         let reports = self.outputs.iter().filter_map(|output| match output {
             ServerAgentOutput::Report(_, report) => Some(report),
@@ -238,7 +240,7 @@
     let done = |(key, number): (&Listed, u64)| (number, *key, RunOutcome::Done);
     let ends: Vec<_> = keys.iter().zip(1..).map(done).collect();
     // All runs have ended, and the list has room for the first 500 ends.
-    agent.answer_up_to(earlier, &[], &ends[..500], true);
+    agent.answer_with_full_list(earlier, &[], &ends[..500]);
     assert_eq!(agent.inventory(), None);
     // That was executed before: the agent must not take it for the present state.
     agent.answer(later, &keys, &[]);
@@ -271,19 +273,19 @@
     let hold = agent.hold().unwrap();
     // The start was executed, and the run has ended. Its end is not in the list yet.
     let done = (1, first, RunOutcome::Done);
-    agent.answer_up_to(hold, &[], &[done], true);
+    agent.answer_with_full_list(hold, &[], &[done]);
     // That call was made when the start was given up. The next list decides about it.
     let hold = agent.next_hold();
-    agent.answer_up_to(hold, &[], &[done], true);
+    agent.answer_with_full_list(hold, &[], &[done]);
     let stop = agent.call(|kind| matches!(kind, ServerCallKind::Stop { .. }));
     agent.step(ServerAgentInput::Replied(
         stop.unwrap(),
         ServerReply::Stopped,
     ));
     let hold = agent.hold().unwrap();
-    agent.answer_up_to(hold, &[], &[done], true);
+    agent.answer_with_full_list(hold, &[], &[done]);
     let hold = agent.next_hold();
-    agent.answer_up_to(hold, &[], &[done], true);
+    agent.answer_with_full_list(hold, &[], &[done]);
     let is_denial = |r: &&AgentReport| matches!(r, AgentReport::NotStarted { .. });
     assert_eq!(agent.reports().into_iter().find(is_denial), None);
     agent.answer(earlier, &[], &[done, (2, key, RunOutcome::Done)]);
