fulmardriftd: wait for an address that another process holds

An entry had ended with "cannot listen on 127.0.0.1:22072: Address already in use".

An operator who restarts a process while its predecessor is still ending would see the same.

Change: it listens by node::listen as well, which takes IPv6 addresses now.

--- a/src/cmd/roles.rs
+++ b/src/cmd/roles.rs
@@ -6,6 +6,7 @@
 
 use super::{CmdError, failed};
 use crate::config::Config;
+use crate::node::listen::listen;
 use crate::shell::agent::{AgentRole, AgentSetup};
 use crate::shell::control::{ControlRole, ControlSetup};
 use crate::shell::entry::{EntryRole, EntrySetup};
@@ -21,7 +22,7 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, CmdError> {
-    let listener = TcpListener::bind(address).await;
+    let listener = listen(address).await;
     listener.map_err(|error| failed(format!("cannot listen on {address}: {error}")))
 }
 
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -1,7 +1,7 @@
 //! Listening on an address that another process may still hold, or that the machine may not have yet.
 
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -20,7 +20,8 @@
 /// # Errors
 ///
 /// The address is held or missing for longer, or cannot be used.
-pub async fn listen(address: SocketAddrV4) -> io::Result<TcpListener> {
+pub async fn listen(address: impl Into<SocketAddr>) -> io::Result<TcpListener> {
+    let address = address.into();
     for tried in 1..MAX_TRIES {
         match TcpListener::bind(address).await {
             Err(error) if may_change(&error) => {
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -3,6 +3,8 @@
 #[path = "fakes/cluster.rs"]
 mod cluster;
 
+use std::net::TcpListener;
+
 use cluster::{Cluster, job_body, send_http};
 
 fn result_count(body: &str) -> usize {
@@ -354,3 +356,20 @@
             && metrics.body.contains("fulmardrift_log_bytes ")
     });
 }
+
+/// Guards against a process that ends at its start since another one holds its address for a moment.
+#[test]
+fn a_process_waits_for_an_address_that_another_one_holds() {
+    let mut cluster = Cluster::start(&[1.0]);
+    cluster.kill("entry-0");
+    let held = TcpListener::bind(("127.0.0.1", cluster.callers[0])).unwrap();
+    cluster.spawn("entry-0");
+    cluster.wait_until("the address is found held", |c| {
+        c.log_text("entry-0").contains("E106 address-held")
+    });
+    drop(held);
+    cluster.wait_until("the entry serves", |c| {
+        let job = r#"{"service":"proof","tasks":[{"payload":"x"}]}"#;
+        c.submit(0, None, job).is_some_and(|a| a.status == 200)
+    });
+}
