--- a/review/stand-ins-3/deployment.py
+++ b/review/stand-ins-3/deployment.py
@@ -139,6 +139,7 @@
         self.work = work
         self.zone = ZONES[number % 3]
         self.up = False
+        self.hangs = False
         self.server = None
         self.connections = set()
         self.tasks = []
@@ -221,6 +222,10 @@
         try:
             while self.up:
                 first, headers, body = await read_message(reader)
+                if self.hangs:
+                    # Neither carried out nor answered.
+                    await reader.read()
+                    return
                 status, answer = await self.handle(first.split()[1], headers, json.loads(body))
                 answer = dict(answer, clock_ms=self.clock(), born=self.born)
                 data = json.dumps(answer).encode()
@@ -469,7 +474,7 @@
 
     async def client(self, front, method, path, body=None, deadline_ms=1500, patience=None):
         """One request of a client. Returns its status, or 'none' if no complete answer came."""
-        name = path[len(PREFIX):] if path.startswith(PREFIX) else path
+        name = path.rsplit("/", 1)[1] or path
         self.record("client-sends", front=front, method=method, job=name, deadline_ms=deadline_ms)
         headers = {"Host": HOST, "X-Deadline-Ms": str(deadline_ms)}
         wait = patience if patience is not None else deadline_ms / 1000
@@ -484,14 +489,15 @@
         self.record("client-gets", front=front, method=method, job=name, status=status, body=answer)
         return status, answer
 
-    async def submit(self, front, job, body, deadline_ms=1500, patience=None):
+    async def submit(self, front, job, body, deadline_ms=1500, patience=None, prefix=PREFIX):
         self.jobs[job] = body
-        return await self.client(front, "POST", PREFIX + job, body, deadline_ms, patience)
+        return await self.client(front, "POST", prefix + job, body, deadline_ms, patience)
 
-    async def submit_until_accepted(self, front, job, body):
+    async def submit_until_accepted(self, front, job, body, prefix=PREFIX):
         """Hands a stored job in; sends it again after no response, 502, 504, 429 or 503."""
         for attempt in range(10):
-            status, _ = await self.submit((front + attempt) % self.count["front"], job, body)
+            front = (front + attempt) % self.count["front"]
+            status, _ = await self.submit(front, job, body, prefix=prefix)
             if isinstance(status, int) and 200 <= status < 300:
                 return
             await asyncio.sleep(BOUNDS["resend_ms"] / 1000)
