--- a/review/stand-ins-3/deployment.py
+++ b/review/stand-ins-3/deployment.py
@@ -463,8 +463,11 @@
         while time.monotonic() < deadline:
             ready = 0
             for number in range(self.count["front"]):
-                got = await call(
-                    (self.ip("front", number), READINESS_PORT), "GET", "/readyz", timeout=2.0)
+                address = (self.ip("front", number), READINESS_PORT)
+                try:
+                    got = await call(address, "GET", "/readyz", timeout=2.0)
+                except asyncio.TimeoutError:
+                    continue
                 ready += bool(got and got[0] == 200)
             if ready == self.count["front"]:
                 await asyncio.sleep(2.0)
@@ -541,14 +544,18 @@
     """Plays a case: `play` returns the broken rule's text, or None if it held."""
 
     async def run():
-        deployment = make(folder)
+        try:
+            deployment = make(folder)
+        except CannotRun as error:
+            print(f"cannot run: {error}")
+            return 2
         record = deployment.record
         record("case", trouble=int(TROUBLE))
         try:
             broken = await play(deployment)
-        except CannotRun as error:
-            record("cannot-run", why=error)
-            print(f"cannot run: {error}")
+        except Exception as error:  # Exit code 1 is for a broken rule only.
+            record("cannot-run", why=repr(error))
+            print(f"cannot run: {error!r}")
             return 2
         finally:
             await deployment.stop()
@@ -557,9 +564,12 @@
         return 1 if broken else 0
 
     async def limited():
+        # Ends all processes also when the script is told to stop.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(run(), 112)
-        except asyncio.TimeoutError:
+        except (asyncio.TimeoutError, asyncio.CancelledError):
             print("cannot run: out of time")
             return 2
 
