Dispatch: limit the trial of a failing worker to runs ordered after the failure

Cause: a worker whose last run failed counted as on trial while any run was there, also runs that began before the failure and say nothing of it. Nothing ended that but their ends. And each failure counted against its worker, whatever else failed the same job.

Change: the trial is the first run ordered after the failure, and lasts 1 s at most.

--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -240,6 +240,7 @@
             suspect,
         };
         worker.add_run((key, run), placed);
+        worker.start_trial(now, (key, run));
         let life = worker.life();
         if let Some(session) = worker.session {
             events::ORDERED.log(format_args!(
@@ -308,6 +309,7 @@
         let step = definition.step(key)?;
         let compartment = queue.and_then(|q| self.compartment_of(q, step));
         Some(WorkerFilter {
+            now,
             evacuated,
             service: &definition.settings.service,
             step,
@@ -397,6 +399,7 @@
 /// Which workers may run a task, whatever they cost.
 #[derive(Debug)]
 pub(crate) struct WorkerFilter<'a> {
+    now: Millis,
     evacuated: &'a [String],
     service: &'a str,
     step: &'a Step,
@@ -420,7 +423,7 @@
             && self.evacuated.binary_search(&server.data_centre).is_err()
             && has_label
             && server.service == self.service
-            && !worker.is_on_trial()
+            && !worker.is_on_trial(self.now)
             && !is_spread
             && compartment.is_none_or(|c| c.contains(worker))
             && !(self.is_suspect && worker.suspects > 0 && worker.has_suspect_beside(key))
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -2,7 +2,7 @@
 
 use super::load::pace;
 use super::replicated_state::RunEnd;
-use super::spec::{QueueKey, Resources, RunId, TaskId};
+use super::spec::{QueueKey, Resources, RunId, RunOutcome, TaskId};
 use super::wire::Server;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -25,6 +25,9 @@
 /// First and longest pause of a failing worker, in milliseconds; each further failure doubles it.
 const FIRST_PAUSE: Millis = Millis(500);
 const MAX_PAUSE: Millis = Millis(4_000);
+/// Longest trial of a failing worker, in milliseconds: a run that has lasted for so long shows that
+/// the worker does not fail at once what it starts.
+const MAX_TRIAL: Millis = Millis(1_000);
 /// How long a worker that reported no free resources is passed over, in milliseconds, unless it
 /// reports other dispatchers' usage before.
 const FULL_FOR: Millis = Millis(30);
@@ -65,6 +68,13 @@
     }
 }
 
+/// A run that shows whether a failing worker goes on failing.
+#[derive(Debug)]
+struct Trial {
+    run: (TaskId, RunId),
+    until: Millis,
+}
+
 /// Where the figure of what other dispatchers use comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum UsageSource {
@@ -113,9 +123,13 @@
     pub(crate) crashed_at: Option<Millis>,
     /// The isolated queue that it is kept for.
     pub(crate) kept_for: Option<QueueKey>,
-    // Consecutive failures, and the end of the pause that followed from them.
+    // How the last run here ended that did not get lost.
+    last_outcome: RunOutcome,
+    // Consecutive failures that count against the worker, the end of the pause that followed from
+    // them, and the first run since.
     failures_in_a_row: u32,
     paused_until: Millis,
+    trial: Option<Trial>,
     // Highest number among the ends received, and the ends whose record is not yet committed.
     last_end_number: u64,
     unrecorded: Vec<(u64, TaskId, RunId)>,
@@ -144,8 +158,10 @@
             ended_life: None,
             crashed_at: None,
             kept_for: None,
+            last_outcome: RunOutcome::Done,
             failures_in_a_row: 0,
             paused_until: Millis(0),
+            trial: None,
             last_end_number: 0,
             unrecorded: Vec::new(),
         }
@@ -199,7 +215,7 @@
         if life != self.life() {
             self.last_end_number = 0;
             self.unrecorded.clear();
-            self.failures_in_a_row = 0;
+            self.record_success();
             self.paused_until = Millis(0);
             self.ejected = false;
         }
@@ -217,6 +233,7 @@
 
     pub(crate) fn remove_run(&mut self, key: (TaskId, RunId)) -> Option<PlacedRun> {
         let placed = self.runs.remove(&key)?;
+        self.trial.take_if(|trial| trial.run == key);
         self.used.remove(placed.need);
         self.suspects -= u32::from(placed.suspect);
         Some(placed)
@@ -236,7 +253,9 @@
 
     /// Notes a run that succeeded.
     pub(crate) fn record_success(&mut self) {
+        self.last_outcome = RunOutcome::Done;
         self.failures_in_a_row = 0;
+        self.trial = None;
     }
 
     /// Updates the pace from the deviation of a run that succeeded.
@@ -297,8 +316,15 @@
         }
     }
 
+    /// Notes a run that failed for a reason that need not lie with the worker.
+    pub(crate) fn record_job_failure(&mut self) {
+        self.last_outcome = RunOutcome::Failed;
+    }
+
     /// Counts a failure, and pauses the worker after several consecutive ones.
     pub(crate) fn record_failure(&mut self, now: Millis) {
+        self.last_outcome = RunOutcome::Failed;
+        self.trial = None;
         self.failures_in_a_row += 1;
         let Some(beyond) = self.failures_in_a_row.checked_sub(MAX_FAILURES) else {
             return;
@@ -309,13 +335,22 @@
 
     /// True if the last run that ended here failed.
     pub(crate) fn is_failing(&self) -> bool {
-        self.failures_in_a_row > 0
+        self.last_outcome == RunOutcome::Failed
+    }
+
+    /// Makes a run that was just ordered the trial of a failing worker. Runs that were ordered before
+    /// the failure do not show whether the worker goes on failing.
+    pub(crate) fn start_trial(&mut self, now: Millis, run: (TaskId, RunId)) {
+        if self.failures_in_a_row > 0 && self.trial.is_none() {
+            let until = now + MAX_TRIAL;
+            self.trial = Some(Trial { run, until });
+        }
     }
 
     /// True while a run here shows whether the worker goes on failing. It gets no other one until
     /// then: a worker that fails all at once would else take all the work that waits.
-    pub(crate) fn is_on_trial(&self) -> bool {
-        self.is_failing() && !self.runs.is_empty()
+    pub(crate) fn is_on_trial(&self, now: Millis) -> bool {
+        self.trial.as_ref().is_some_and(|trial| now < trial.until)
     }
 
     /// Returns true if no end with this number or a higher one has been received.
