Dispatch: a task waits for a better worker for a limited time only

Cause: a task with a recorded failure waited for a worker whose last run had not failed, if the service had any, even one that lacks the label, or is full for long. Nothing ended the wait. The leader that saw the failures itself did not count those of stored jobs, so the wait began with a change of leaders.

Change: failing and ejected workers are doubtful, and a task waits for another one only if that could run it. A task that finds no worker for 1.5 s takes a doubtful or paused one, or one on trial; after 10 s while at least half of the service is in use, as tasks wait mostly for room then, and a worker that fails all that it starts would draw many. Failures of stored jobs count from their record on, for each leader alike.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -11,7 +11,9 @@
 use super::load::demand::Demand;
 use super::load::want::Urgency;
 use super::placing::MissedTask;
-use super::replicated_state::{Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand};
+use super::replicated_state::{
+    Job, OpenJob, ReplicatedState, RunEnd, StateChange, StateCommand, TaskRecord,
+};
 use super::reports::{order_stop, send_recorded};
 use super::run_trace::{DroppedJobs, RunProof};
 use super::spec::{JobId, JobStatus, Queue};
@@ -271,15 +273,15 @@
                 send_recorded(worker, out);
             }
         }
-        let done = state
-            .open_job(end.task.job)
-            .and_then(|j| j.task(end.task))
-            .is_none_or(|t| t.done);
+        let job = state.open_job(end.task.job);
+        let record = job.and_then(|job| job.task(end.task));
+        let done = record.is_none_or(|task| task.done);
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
         };
         if let Some(task) = job.task_mut(end.task) {
             task.failure_pending = false;
+            task.failures = record.map_or(0, TaskRecord::failures);
             if done {
                 task.phase = TaskPhase::Done;
             } else if task.phase == TaskPhase::Recording {
--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -41,8 +41,10 @@
     pub(crate) avoid: Option<WorkerId>,
     /// Number of times it was moved for being slow.
     pub(crate) moves: u32,
-    /// Number of runs that failed.
+    /// Number of runs that failed, without those of a stored job that are not recorded.
     pub(crate) failures: u32,
+    /// Since when it finds no worker.
+    pub(crate) missed_at: Option<Millis>,
     /// A crash under it is being recorded in the log; it is not started before that.
     pub(crate) crash_pending: bool,
     /// The failure of an earlier run is being recorded in the log, while an agent that has not been
@@ -104,6 +106,7 @@
                 avoid: None,
                 moves: 0,
                 failures: task.failures(),
+                missed_at: None,
                 crash_pending: false,
                 failure_pending: false,
                 former: None,
--- a/src/dispatch/placing.rs
+++ b/src/dispatch/placing.rs
@@ -23,6 +23,13 @@
 /// At most one in this many workers is passed over because runs stand still there.
 const MAX_EJECTED_PART: usize = 3;
 
+/// A task that finds no worker for this long takes a doubtful one, in milliseconds: well within the 3 s
+/// for which a stored job may have nothing running while there is room.
+const PATIENCE: Millis = Millis(1_500);
+/// The same while at least half of the service is in use, in milliseconds. There, a task waits mostly
+/// for room, and a worker that fails all that it starts would draw many tasks.
+const BUSY_PATIENCE: Millis = Millis(10_000);
+
 /// Added to a worker's cost when all of its CPU is used.
 const FULL_COST: f64 = 0.05;
 /// Added to a worker's cost for a task that has failed before, if the last run there failed; more
@@ -42,6 +49,15 @@
     is_special: bool,
 }
 
+/// Why a task is not started now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoWorker {
+    /// No worker that may run it has room.
+    Full,
+    /// Only doubtful ones have.
+    Doubtful,
+}
+
 impl MissedTask {
     fn new(job: &LiveJob, key: TaskId, is_special: bool) -> Self {
         let definition = Arc::clone(&job.definition);
@@ -203,22 +219,36 @@
         key: TaskId,
         out: &mut Vec<DispatchOutput>,
     ) -> bool {
-        if self.missed.iter().any(|missed| missed.covers(job, key)) {
-            return false;
-        }
-        let avoid = job.task_mut(key).and_then(|t| t.avoid);
-        let has_failed = job.task_mut(key).is_some_and(|t| t.failures > 0);
-        let Some(id) = self.choose_worker(now, evacuated, &job.definition, key, avoid, has_failed)
-        else {
-            let is_special = has_failed || self.suspects.runs_apart(now, key);
-            self.missed.push(MissedTask::new(job, key, is_special));
+        let Some(task) = job.task_mut(key).copied() else {
             return false;
         };
+        let is_patient = self.is_patient(now, &job.definition, task);
+        let is_covered = is_patient && self.missed.iter().any(|missed| missed.covers(job, key));
+        let chosen = if is_covered {
+            Err(NoWorker::Full)
+        } else {
+            self.choose_worker(now, evacuated, &job.definition, (key, task), is_patient)
+        };
+        let id = match chosen {
+            Ok(id) => id,
+            Err(reason) => {
+                if let Some(task) = job.task_mut(key) {
+                    task.missed_at.get_or_insert(now);
+                }
+                if !is_covered {
+                    let is_special =
+                        reason == NoWorker::Doubtful || self.suspects.runs_apart(now, key);
+                    self.missed.push(MissedTask::new(job, key, is_special));
+                }
+                return false;
+            }
+        };
         self.last_run += 1;
         let run = self.latest_run();
         if let Some(task) = job.task_mut(key) {
             task.phase = TaskPhase::Assigned(id);
             task.run = run;
+            task.missed_at = None;
         }
         let former = job.task_mut(key).and_then(|task| task.former.take());
         if let Some(former) = &former {
@@ -316,40 +346,66 @@
             key,
             compartment,
             is_suspect: self.suspects.runs_apart(now, key),
+            is_patient: true,
         })
     }
 
-    /// Returns the worker on which the task is expected to end first, or `None` if it fits on none.
-    /// Ejected workers are passed over unless there are too many of them: the others could not carry
-    /// the load then, or the cause lies elsewhere. A task that has failed before (`has_failed`) waits
-    /// for a worker whose last run did not fail, if there is any: one that fails all that it starts
-    /// is always free, and would use up the task's attempts.
+    /// True while a task may wait for a better worker than those that have room. Whatever makes a
+    /// worker doubtful may last, so a task does not wait for its end.
+    fn is_patient(&self, now: Millis, definition: &JobDefinition, task: LiveTask) -> bool {
+        let waited = task.missed_at.map_or(Millis(0), |at| now.since(at));
+        waited < PATIENCE || (waited < BUSY_PATIENCE && self.is_busy(&definition.settings.service))
+    }
+
+    /// True while at least half of a service's CPU is in use.
+    fn is_busy(&self, service: &str) -> bool {
+        let (mut used, mut capacity) = (0, 0);
+        for worker in &self.workers {
+            if let Some(server) = worker.server.as_ref().filter(|s| s.service == service) {
+                used += u64::from(worker.used.cpu) + u64::from(worker.other_usage.cpu);
+                capacity += u64::from(server.capacity.cpu);
+            }
+        }
+        2 * used >= capacity
+    }
+
+    /// Returns the worker on which the task is expected to end first.
+    ///
+    /// A patient task does not run on a doubtful worker if another one could run it:
+    /// - An ejected worker is doubtful unless there are too many of them: the others could not carry
+    ///   the load then, or the cause lies elsewhere.
+    /// - To a task that has failed before, a failing worker is doubtful: one that fails all that it
+    ///   starts is always free, and would use up the task's attempts.
+    ///
+    /// Nor does it run on a worker that is on trial, or paused.
     pub(crate) fn choose_worker(
         &self,
         now: Millis,
         evacuated: &[String],
         definition: &JobDefinition,
-        key: TaskId,
-        avoid: Option<WorkerId>,
-        has_failed: bool,
-    ) -> Option<WorkerId> {
+        (key, task): (TaskId, LiveTask),
+        is_patient: bool,
+    ) -> Result<WorkerId, NoWorker> {
         let queue = self.queue_if_divided(definition);
-        let filter = self.worker_filter(now, evacuated, definition, queue.as_ref(), key)?;
+        let mut filter = self
+            .worker_filter(now, evacuated, definition, queue.as_ref(), key)
+            .ok_or(NoWorker::Full)?;
+        filter.is_patient = is_patient;
         let (step, is_suspect) = (filter.step, filter.is_suspect);
+        let has_failed = task.failures > 0;
+        let ejected = self.workers.iter().filter(|w| w.ejected).count();
+        let spares_ejected = ejected * MAX_EJECTED_PART <= self.workers.len();
+        let is_doubtful = |worker: &Worker| {
+            (has_failed && worker.is_failing()) || (spares_ejected && worker.ejected)
+        };
         let mut best: Option<(f64, WorkerId)> = None;
-        let mut best_ejected: Option<(f64, WorkerId)> = None;
-        let mut ejected = 0;
-        let mut any_sound = false;
+        let mut best_doubtful: Option<(f64, WorkerId)> = None;
         for (at, worker) in self.workers.iter().enumerate() {
-            ejected += usize::from(worker.ejected);
-            let Some(server) = worker.available_server(now) else {
+            let Some(server) = filter.available_server(worker) else {
                 continue;
             };
             let mut used = worker.used;
             used.add(worker.other_usage);
-            any_sound |= !worker.is_failing()
-                && server.service == filter.service
-                && evacuated.binary_search(&server.data_centre).is_err();
             if !filter.accepts(worker, server, used) {
                 continue;
             }
@@ -368,7 +424,7 @@
             {
                 cost *= OTHER_RACK_FACTOR;
             }
-            if avoid == Some(WorkerId(at)) {
+            if task.avoid == Some(WorkerId(at)) {
                 cost *= 4.0;
             }
             // Among otherwise equal workers, prefers the one with the most free CPU.
@@ -378,8 +434,8 @@
                 // A crash would end the runs of other jobs, and hide which job caused it.
                 cost += used_by_others(worker, server.capacity, key) * SUSPECT_COST;
             }
-            let slot = if worker.ejected {
-                &mut best_ejected
+            let slot = if is_doubtful(worker) {
+                &mut best_doubtful
             } else {
                 &mut best
             };
@@ -387,12 +443,20 @@
                 *slot = Some((cost, WorkerId(at)));
             }
         }
-        if ejected * MAX_EJECTED_PART > self.workers.len() {
-            let both = best.into_iter().chain(best_ejected);
-            best = both.min_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some((_, id)) = best {
+            return Ok(id);
         }
-        let best = best.map(|(_, id)| id);
-        best.filter(|id| !(has_failed && any_sound && self.workers[id.0].is_failing()))
+        let Some((_, id)) = best_doubtful else {
+            return Err(NoWorker::Full);
+        };
+        let could_run = |worker: &Worker| {
+            let server = worker.able_server(now).filter(|_| !is_doubtful(worker));
+            server.is_some_and(|server| filter.accepts(worker, server, Resources::default()))
+        };
+        if is_patient && self.workers.iter().any(could_run) {
+            return Err(NoWorker::Doubtful);
+        }
+        Ok(id)
     }
 }
 
@@ -406,9 +470,21 @@
     key: TaskId,
     compartment: Option<Compartment<'a>>,
     is_suspect: bool,
+    is_patient: bool,
 }
 
 impl WorkerFilter<'_> {
+    /// The worker's backend server, if it accepts the task once it fits; a task that waits no longer
+    /// takes a paused worker as well.
+    fn available_server<'w>(&self, worker: &'w Worker) -> Option<&'w Server> {
+        if self.is_patient {
+            worker.available_server(self.now)
+        } else {
+            let is_full = worker.full_until(self.now).is_some();
+            worker.open_server(self.now).filter(|_| !is_full)
+        }
+    }
+
     /// True if a worker of which `used` is taken may run the task.
     pub(crate) fn accepts(&self, worker: &Worker, server: &Server, used: Resources) -> bool {
         let (step, key) = (self.step, self.key);
@@ -423,7 +499,7 @@
             && self.evacuated.binary_search(&server.data_centre).is_err()
             && has_label
             && server.service == self.service
-            && !worker.is_on_trial(self.now)
+            && !(self.is_patient && worker.is_on_trial(self.now))
             && !is_spread
             && compartment.is_none_or(|c| c.contains(worker))
             && !(self.is_suspect && worker.suspects > 0 && worker.has_suspect_beside(key))
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -174,10 +174,15 @@
 
     /// The backend server, if it accepts new runs once it has free resources.
     pub(crate) fn able_server(&self, now: Millis) -> Option<&Server> {
-        let able =
+        self.open_server(now).filter(|_| now >= self.paused_until)
+    }
+
+    /// The backend server, if it could run something, even if it fails what it starts.
+    pub(crate) fn open_server(&self, now: Millis) -> Option<&Server> {
+        let open =
             self.has_inventory && self.enrolled && !self.is_down() && self.is_responsive(now);
         let server = self.server.as_ref()?;
-        (able && !server.leaving && now >= self.paused_until).then_some(server)
+        (open && !server.leaving).then_some(server)
     }
 
     /// Returns true if the agent has a session and a message arrived recently.
