Control: a cancel follows the acceptance that waits to be committed

Cause: the leader looked for the job in what it has applied only. An acceptance that it has proposed, or will with the next flush, is in neither. A former leader's acceptance is no way to the same: an instance leads only once all of these are applied (Raft::holds_lease).

Change: a cancel of a job whose acceptance waits is proposed as well. It comes after that in the log, so the job is stored as cancelled before any task is placed, and a submission that is repeated finds it so. A leader that is lost answers neither call.

--- a/src/dispatch/replica_calls.rs
+++ b/src/dispatch/replica_calls.rs
@@ -193,9 +193,9 @@
 
     pub(crate) fn cancel(&mut self, origin: Origin, id: JobId) -> Option<CallReply> {
         match self.state.jobs.get(&id) {
-            None => Some(CallReply::NoJob),
+            None if !self.is_accepting(id) => Some(CallReply::NoJob),
             Some(Job::Ended(_)) => Some(CallReply::Done),
-            Some(Job::Open(_)) => {
+            None | Some(Job::Open(_)) => {
                 events::CANCELLED.log(format_args!("job={id}"));
                 self.batch
                     .push((StateCommand::Cancel(id), PendingReply::Call(origin)));
@@ -204,6 +204,14 @@
         }
     }
 
+    /// True while the acceptance of a job waits to be proposed or committed. What is proposed from now
+    /// on comes after it in the log.
+    fn is_accepting(&self, id: JobId) -> bool {
+        let proposed = self.pending.iter().map(|(_, pending)| pending);
+        let mut all = proposed.chain(self.batch.iter().map(|(_, pending)| pending));
+        all.any(|pending| matches!(pending, PendingReply::Accept(known, _) if *known == id))
+    }
+
     pub(crate) fn job_status(&self, id: JobId) -> CallReply {
         match self.state.jobs.get(&id) {
             None => CallReply::NoJob,
--- a/tests/stored_jobs.rs
+++ b/tests/stored_jobs.rs
@@ -8,11 +8,12 @@
 mod stored;
 
 use fulmardrift::{
-    Call, CallReply, ClientAction, JobGuard, JobId, JobStatus, Millis, OperatorConfig, RunId,
-    TaskId,
+    Call, CallReply, ClientAction, JobGuard, JobId, JobStatus, Millis, OperatorConfig,
+    ReplicaInput, RunId, RunOutcome, TaskId,
 };
 
 use fleet::{config, job, submit};
+use server::Span;
 use stored::TestGroup;
 
 const COMPLETED: CallReply = CallReply::State(JobStatus::Completed);
@@ -418,3 +419,54 @@
     let hopeless = group.job_status(JobId(1));
     assert_eq!(hopeless, CallReply::State(JobStatus::Queued));
 }
+
+fn cancel(id: JobId) -> Call {
+    Call::Client {
+        host: "desk.example".to_owned(),
+        path: format!("/jobs/{id}"),
+        action: ClientAction::Cancel,
+    }
+}
+
+/// Guards against a cancel that is answered "no such job" while the acceptance of its job waits to be
+/// committed, so that the job runs to its end (review/14).
+#[test]
+fn a_job_that_is_cancelled_while_it_is_being_accepted_does_not_run() {
+    // Before, while and after the acceptance is written.
+    for wait in [0, 1, 5, 9, 15] {
+        let mut group = TestGroup::new(500);
+        let leader = group.leader();
+        let spec = job(2, 500, false);
+        group.input(leader, ReplicaInput::Call(9_001, submit(JobId(1), spec)));
+        group.run(wait);
+        group.input(leader, ReplicaInput::Call(9_002, cancel(JobId(1))));
+        group.run(100);
+        assert_eq!(group.replies.get(&9_001), Some(&CallReply::Done));
+        assert_eq!(group.replies.get(&9_002), Some(&CallReply::Done));
+        let cancelled = CallReply::State(JobStatus::Cancelled);
+        assert_eq!(group.job_status(JobId(1)), cancelled, "after {wait} ms");
+        group.run(2_000);
+        assert_eq!(group.server.run_count(), 0);
+        let mut spans = group.server.spans.iter();
+        let is_done = |span: &Span| span.outcome == Some(RunOutcome::Done);
+        assert!(!spans.any(is_done), "after {wait} ms");
+        // It stays one job, which is cancelled, when it is submitted again.
+        let spec = job(2, 500, false);
+        assert_eq!(group.ask(&submit(JobId(1), spec)), CallReply::Done);
+        assert_eq!(group.job_status(JobId(1)), cancelled);
+    }
+}
+
+/// Guards against a cancel that a leader without the acceptance's commit answers: it is repeated, as
+/// its submission is, and comes after that again.
+#[test]
+fn a_cancel_is_not_answered_while_the_leader_is_lost() {
+    let mut group = TestGroup::new(500);
+    let leader = group.leader();
+    let spec = job(2, 500, false);
+    group.input(leader, ReplicaInput::Call(9_001, submit(JobId(1), spec)));
+    group.input(leader, ReplicaInput::Call(9_002, cancel(JobId(1))));
+    group.kill(leader);
+    group.run(3_000);
+    assert_eq!(group.replies.get(&9_002), None);
+}
