Entry: a cancel does not overtake the submission of its job

A submission that is sent again waits 40 ms after an instance has answered that it does not lead; one that waits for the first configuration is routed after calls without a rank. A cancel that came then reached the leader first: 410, and the job was accepted and ran.

Change: a cancel is forwarded once the submissions of the same job that came before it have been, over the same link.

--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -373,22 +373,31 @@
         true
     }
 
+    /// Forwards the calls that the leader does not have. A cancel must not overtake the submission of
+    /// its job: the leader would answer that there is no such job, and then accept it.
     fn forward(&mut self, now: Millis, out: &mut Vec<CallRouterOutput>) {
         let Some(link) = self.leader else {
             return;
         };
+        let mut unsent = Vec::new();
         for (token, open) in self.open_calls.iter_mut() {
-            if let CallRoute::Forward {
-                call,
-                sent: sent @ None,
-                may_have_run,
-                again,
-            } = &mut open.route
-                && now >= *again
-            {
-                *sent = Some(link);
-                *may_have_run = true;
-                out.push(CallRouterOutput::Forward(link, *token, call.clone()));
+            match &mut open.route {
+                CallRoute::Parked(call) => unsent.extend(submitted_path(call)),
+                CallRoute::Forward {
+                    call,
+                    sent: sent @ None,
+                    may_have_run,
+                    again,
+                } => {
+                    if now < *again {
+                        unsent.extend(submitted_path(call));
+                    } else if !cancelled_path(call).is_some_and(|path| unsent.contains(&path)) {
+                        *sent = Some(link);
+                        *may_have_run = true;
+                        out.push(CallRouterOutput::Forward(link, *token, call.clone()));
+                    }
+                }
+                CallRoute::Local(_) | CallRoute::Held { .. } | CallRoute::Forward { .. } => {}
             }
         }
     }
@@ -495,3 +504,27 @@
         self.dispatcher.stakes(now)
     }
 }
+
+/// Host and path of the job that a call hands in.
+fn submitted_path(call: &Call) -> Option<(&str, &str)> {
+    match call {
+        Call::Client {
+            host,
+            path,
+            action: ClientAction::Submit(_),
+        } => Some((host, path)),
+        _ => None,
+    }
+}
+
+/// Host and path of the job that a call cancels.
+fn cancelled_path(call: &Call) -> Option<(&str, &str)> {
+    match call {
+        Call::Client {
+            host,
+            path,
+            action: ClientAction::Cancel,
+        } => Some((host, path)),
+        _ => None,
+    }
+}
