Entry: cancel a transient job that runs here

The entry forwarded every cancel to the leader, which knows stored jobs only.

Change: the entry that runs the job ends it as cancelled, stops its runs, and answers the cancel and the calls that wait for the job. At another entry the answer is still 410: entries do not know each other's jobs.

--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -327,6 +327,11 @@
                         out.extend(reply.map(|reply| CallRouterOutput::Answer(token, reply)));
                         return;
                     }
+                    (Target::Job(_, id), ClientAction::Cancel) if self.dispatcher.has_job(id) => {
+                        self.cancel_local(now, id);
+                        out.push(CallRouterOutput::Answer(token, CallReply::Done));
+                        return;
+                    }
                     (_, action) => Call::Client { host, path, action },
                 }
             }
@@ -348,6 +353,15 @@
         self.forward(now, out);
     }
 
+    /// Ends a transient job at its caller's request.
+    fn cancel_local(&mut self, now: Millis, id: JobId) {
+        events::CANCELLED.log(format_args!("job={id} stored=false"));
+        let status = JobStatus::Cancelled;
+        self.dispatcher
+            .drop_job(now, id, Some(status), &mut self.actions);
+        self.actions.push(DispatchOutput::Ended(id, status));
+    }
+
     /// True if a job that is handed in might still run when the entry's process ends. Its caller would
     /// get no answer; another entry can take it.
     fn ends_too_early(&self, incoming: &IncomingCall, call: &Call) -> bool {
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -769,3 +769,25 @@
         );
     }
 }
+
+/// Guards against a job whose entry answers a cancel with "no such job", and goes on to start its tasks.
+#[test]
+fn a_cancelled_job_is_stopped_by_the_entry_that_runs_it() {
+    let mut fleet = Fleet::new(1, 1, 1_000);
+    // More tasks than run at a time.
+    fleet.call(0, 1, submit(JobId(1), job(8, 1_000, true)), 30_000);
+    fleet.run(300);
+    let cancel = Call::Client {
+        host: "desk.example".to_owned(),
+        path: format!("/jobs/{}", JobId(1)),
+        action: ClientAction::Cancel,
+    };
+    fleet.call(0, 2, cancel, 1_000);
+    fleet.run(100);
+    assert_eq!(fleet.answer(0, 2), Some(&CallReply::Done));
+    let cancelled = CallReply::State(JobStatus::Cancelled);
+    assert_eq!(fleet.answer(0, 1), Some(&cancelled));
+    fleet.run(3_000);
+    assert_eq!(fleet.spans().len(), 4);
+    assert_eq!(fleet.agents[0].server.run_count(), 0);
+}
