Entry: answer all calls before a stopping process ends

Cause: the entry waits for its open calls for the rest of the grace period and then ends, whether they are answered or not. The router knows when the process ends, but used that for new jobs only.

Change: the router learns at once when the process ends. No open or later call waits for longer: what has not begun is answered "not run" by then, the rest as unknown. A waiting job that can't end any more by then is refused at the next tick, so that another entry can take it; what can still end in time is served. New jobs are refused as before, in the last 3 s, if their callers would wait for longer. Calls on their way to the router count as open.

--- a/src/dispatch/admitting.rs
+++ b/src/dispatch/admitting.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// True if a job that starts now can't end before `at`.
+    pub(crate) fn outlasts(&self, now: Millis, id: JobId, at: Millis) -> bool {
+        let job = self.jobs.get(&id);
+        job.is_some_and(|job| now + self.times_of(job).shortest > at)
+    }
+
     /// Returns why a waiting job that has not begun can't be of use any more, or `None` if it can.
     pub(crate) fn waiting_refusal(&self, now: Millis, id: JobId) -> Option<Refused> {
         let job = self.jobs.get(&id)?;
--- a/src/dispatch/call_expiry.rs
+++ b/src/dispatch/call_expiry.rs
@@ -3,6 +3,7 @@
 use super::call::{Call, CallReply, ClientAction};
 use super::call_router::{CallRoute, CallRouter, CallRouterOutput, OpenCall};
 use super::load::admission::Refused;
+use super::spec::JobId;
 use crate::core::clock::Millis;
 use crate::events;
 
@@ -56,6 +57,12 @@
         self.next_deadline = deadlines.min().unwrap_or(Millis(u64::MAX));
     }
 
+    /// True if a waiting job can't end any more before this process does.
+    fn outlasts_process(&self, now: Millis, id: JobId) -> bool {
+        let at = self.answer_by;
+        at.is_some_and(|at| self.dispatcher.outlasts(now, id, at))
+    }
+
     fn retry_after_of(&mut self, now: Millis, open: &OpenCall) -> Millis {
         match open.route {
             CallRoute::Local(id) => self.retry_after_waiting(now, id),
@@ -81,6 +88,7 @@
                     .dispatcher
                     .blocks_useful_jobs(now, *id)
                     .then_some("begun-too-late"),
+                CallRoute::Local(id) if self.outlasts_process(now, *id) => Some("stopping"),
                 CallRoute::Local(_) if waited >= give_up_after => Some("not-offered"),
                 CallRoute::Local(id) => {
                     let refusal = self.dispatcher.waiting_refusal(now, *id);
--- a/src/dispatch/call_router.rs
+++ b/src/dispatch/call_router.rs
@@ -30,6 +30,9 @@
 /// Retry delay given to callers whose call is refused for another reason than want of capacity, in
 /// milliseconds: another entry can take it, or none can.
 pub(super) const RETRY_AFTER: Millis = Millis(1_000);
+/// A stopping entry refuses jobs in this last part of its time whose callers would wait for longer, in
+/// milliseconds. Before that, new callers may not have learned yet that it is not ready.
+const LAST_JOBS: Millis = Millis(3_000);
 /// The entry's dispatcher holds no stored jobs, so it has no ended jobs to keep.
 const KEEP_NOTHING: Millis = Millis(0);
 
@@ -139,6 +142,8 @@
     pub(super) recent_outcomes: Table<JobId, (Millis, JobStatus)>,
     swept_at: Millis,
     stops_at: Option<Millis>,
+    // When the last open calls of a stopping process are answered.
+    pub(super) answer_by: Option<Millis>,
     // Number of open calls with the route `Held`.
     pub(super) held_calls: usize,
     pub(super) gaps: TurnGaps,
@@ -166,6 +171,7 @@
             recent_outcomes: Table::default(),
             swept_at: now,
             stops_at: None,
+            answer_by: None,
             held_calls: 0,
             gaps: TurnGaps::new(now),
             arrivals: ArrivalGaps::new(now),
@@ -202,9 +208,13 @@
                     out.push(CallRouterOutput::Answer(token, reply));
                     return;
                 }
+                let incoming = IncomingCall {
+                    deadline: self.answer_by.map_or(deadline, |at| deadline.min(at)),
+                    ..incoming
+                };
                 self.on_call(now, incoming, call, out);
             }
-            CallRouterInput::StopsAt(at) => self.stops_at = Some(at),
+            CallRouterInput::StopsAt(at) => self.stop_at(at),
             CallRouterInput::Left(token) => {
                 if let Some(open) = self.open_calls.remove(&token) {
                     self.end_hold(now, token, &open, "left");
@@ -353,6 +363,18 @@
         self.forward(now, out);
     }
 
+    /// The entry's process ends at this time: no open call waits for longer. Jobs that can't end by
+    /// then, and have not begun, are refused with the next tick.
+    fn stop_at(&mut self, at: Millis) {
+        self.stops_at = Some(at);
+        // A later notice says that nothing is open any more; what has come since is still answered.
+        let answer_by = *self.answer_by.get_or_insert(at);
+        for (_, open) in self.open_calls.iter_mut() {
+            open.deadline = open.deadline.min(answer_by);
+        }
+        self.next_deadline = self.next_deadline.min(answer_by);
+    }
+
     /// Ends a transient job at its caller's request.
     fn cancel_local(&mut self, now: Millis, id: JobId) {
         events::CANCELLED.log(format_args!("job={id} stored=false"));
@@ -362,8 +384,8 @@
         self.actions.push(DispatchOutput::Ended(id, status));
     }
 
-    /// True if a job that is handed in might still run when the entry's process ends. Its caller would
-    /// get no answer; another entry can take it.
+    /// True if a job that is handed in shortly before the entry's process ends might still run then.
+    /// Another entry can take it.
     fn ends_too_early(&self, incoming: &IncomingCall, call: &Call) -> bool {
         let is_submit = matches!(
             call,
@@ -372,10 +394,9 @@
                 ..
             }
         );
-        let Some(at) = self
-            .stops_at
-            .filter(|at| is_submit && incoming.deadline > *at)
-        else {
+        let is_late =
+            |at: &Millis| incoming.deadline > *at && incoming.received_at + LAST_JOBS >= *at;
+        let Some(at) = self.stops_at.filter(|at| is_submit && is_late(at)) else {
             return false;
         };
         events::REFUSED.log(format_args!(
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -73,7 +73,9 @@
     tx: mpsc::Sender<Event>,
     clock: Clock,
     next_token: Arc<AtomicU64>,
+    // Calls in the router, and callers that wait; a call may still be on its way between the two.
     open_calls: Arc<AtomicUsize>,
+    callers: Arc<AtomicUsize>,
     ready: Arc<AtomicBool>,
 }
 
@@ -115,6 +117,7 @@
             clock,
             next_token: Arc::new(AtomicU64::new(1)),
             open_calls,
+            callers: Arc::default(),
             ready,
         })
     }
@@ -131,8 +134,10 @@
         };
         let deadline = received_at + wait;
         let token = self.next_token.fetch_add(1, Ordering::Relaxed);
+        self.callers.fetch_add(1, Ordering::Relaxed);
         let mut guard = CallGuard {
             tx: &self.tx,
+            callers: &self.callers,
             token: Some(token),
         };
         if self
@@ -163,8 +168,11 @@
         }
     }
 
-    /// Tells the entry that its process ends in `wait` milliseconds. It refuses jobs from then on
-    /// whose callers would wait for longer.
+    /// Tells the entry that its process ends in `wait` milliseconds. All calls are answered by then:
+    /// jobs that can't end in time are refused as soon as that is known, unless they have begun.
+    ///
+    /// With a second notice that its process ends, the entry takes no more jobs; calls that are still
+    /// open are answered by the time of the first.
     pub async fn stop_within(&self, wait: Millis) {
         let stops_at = self.clock.now() + wait;
         if self.tx.send(Event::StopsAt(stops_at)).await.is_err() {
@@ -175,7 +183,8 @@
     /// Returns the number of calls without an answer.
     #[must_use]
     pub fn open_calls(&self) -> usize {
-        self.open_calls.load(Ordering::Relaxed)
+        let callers = self.callers.load(Ordering::Relaxed);
+        callers.max(self.open_calls.load(Ordering::Relaxed))
     }
 
     /// Returns true while this entry should receive new callers.
@@ -185,14 +194,17 @@
     }
 }
 
-/// Notifies the call router when the future of a call is dropped before its answer.
+/// Counts a caller, and notifies the call router when the future of the call is dropped before
+/// its answer.
 struct CallGuard<'a> {
     tx: &'a mpsc::Sender<Event>,
+    callers: &'a AtomicUsize,
     token: Option<u64>,
 }
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
+        self.callers.fetch_sub(1, Ordering::Relaxed);
         if let Some(token) = self.token
             && self.tx.try_send(Event::CallerLeft(token)).is_err()
         {
--- a/tests/transient_jobs.rs
+++ b/tests/transient_jobs.rs
@@ -770,6 +770,75 @@
     }
 }
 
+/// Guards against a stopping entry that ends while callers wait, and closes their connections without
+/// an answer (review/13).
+#[test]
+fn a_stopping_entry_answers_all_calls_before_it_ends() {
+    const JOB_MS: u64 = 14_000;
+    const WAIT_MS: u64 = 30_000;
+    let mut fleet = Fleet::new(1, 1, JOB_MS);
+    // The first takes the only worker, the second waits for it.
+    fleet.call(0, 1, submit(JobId(1), job(4, JOB_MS, true)), WAIT_MS);
+    fleet.run(300);
+    fleet.call(0, 2, submit(JobId(2), job(4, JOB_MS, true)), WAIT_MS);
+    fleet.call(0, 3, Call::GetConfig, WAIT_MS);
+    fleet.run(300);
+    assert_eq!(fleet.answer(0, 2), None);
+    let stops_at = fleet.now + Millis(5_400);
+    fleet.router_input(0, CallRouterInput::StopsAt(stops_at));
+    fleet.call(0, 4, submit(JobId(4), job(4, JOB_MS, true)), WAIT_MS);
+    fleet.run(100);
+    // What has not begun and can't end in time is refused at once.
+    for call in [2, 4] {
+        let answer = fleet.answer(0, call);
+        assert!(matches!(answer, Some(CallReply::Refused(_))), "call {call}");
+    }
+    fleet.run(5_300);
+    // A tick later.
+    fleet.run(20);
+    assert_eq!(fleet.answer(0, 1), Some(&CallReply::Unknown));
+    assert!(matches!(fleet.answer(0, 3), Some(CallReply::Refused(_))));
+    assert_eq!(fleet.spans().len(), 4, "only tasks of the first job");
+}
+
+/// Guards against a stopping entry that gives up jobs which can still end in time.
+#[test]
+fn a_stopping_entry_serves_what_can_end_in_time() {
+    let mut fleet = Fleet::new(1, 1, 400);
+    fleet.call(0, 1, submit(JobId(1), job(4, 400, true)), 30_000);
+    fleet.run(300);
+    // It waits for the end of the first.
+    fleet.call(0, 2, submit(JobId(2), job(4, 400, true)), 30_000);
+    fleet.run(20);
+    assert_eq!(fleet.spans().len(), 4);
+    let stops_at = fleet.now + Millis(5_400);
+    fleet.router_input(0, CallRouterInput::StopsAt(stops_at));
+    fleet.run(1_000);
+    fleet.call(0, 3, submit(JobId(3), job(4, 400, true)), 30_000);
+    fleet.run(1_000);
+    for call in 1..=3 {
+        assert_eq!(fleet.answer(0, call), Some(&COMPLETED), "call {call}");
+    }
+}
+
+/// Guards against a stopping entry whose calls for the first configuration stay open, and against a
+/// second notice that cuts the time of open calls short.
+#[test]
+fn a_stopping_entry_answers_calls_that_wait_for_the_configuration() {
+    let mut fleet = Fleet::new(1, 1, 100);
+    fleet.kill_entry(0);
+    fleet.start_entry_without_config(0);
+    fleet.call(0, 1, submit(JobId(1), job(1, 100, false)), 30_000);
+    let stops_at = fleet.now + Millis(300);
+    fleet.router_input(0, CallRouterInput::StopsAt(stops_at));
+    fleet.run(100);
+    fleet.router_input(0, CallRouterInput::StopsAt(fleet.now));
+    fleet.run(100);
+    assert_eq!(fleet.answer(0, 1), None);
+    fleet.run(120);
+    assert!(matches!(fleet.answer(0, 1), Some(CallReply::Refused(_))));
+}
+
 /// Guards against a job whose entry answers a cancel with "no such job", and goes on to start its tasks.
 #[test]
 fn a_cancelled_job_is_stopped_by_the_entry_that_runs_it() {
