Entry: divide short grace periods in proportion

Change: StopTimes divides the grace period; its margins take at most a part of a short one. 6 s are divided as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -100,6 +100,7 @@
 };
 pub use crate::node::listen::listen;
 pub use crate::node::output::{end_on_panic, flush_output, start_output};
+pub use crate::node::stop_times::StopTimes;
 pub use crate::shell::clock::Clock;
 pub use crate::shell::stand_in::StandInCounts;
 pub use crate::store::founding::FounderMark;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,4 +19,5 @@
 pub(crate) mod output;
 pub(crate) mod pauses;
 pub(crate) mod sessions;
+pub(crate) mod stop_times;
 pub(crate) mod timer;
