Dispatch: wait for the other runs of a failing worker, for 1 s

A worker that had just failed got its trial while other runs were still about to fail there, and failures of a job that had failed elsewhere did not count against it.

Change: a failing worker gets its trial once its other runs have ended, as before, or 1 s after its last failure. Each failure counts against its worker again: the limits of the trial and of the wait already bound what a job that can't be done costs others.

--- a/src/dispatch/live.rs
+++ b/src/dispatch/live.rs
@@ -84,8 +84,6 @@
     pub(crate) started: bool,
     /// A run was lost with its worker; it is not known whether it had started.
     pub(crate) has_lost_run: bool,
-    /// The worker on which the first of its runs failed, as far as this dispatcher knows.
-    pub(crate) failed_on: Option<WorkerId>,
     /// When the last of its callers must be answered; the largest time for a stored job.
     pub(crate) deadline: Millis,
     /// Why an entry admitted it; `None` for a stored job.
@@ -124,7 +122,6 @@
             received_at: now,
             started: job.has_begun(),
             has_lost_run: false,
-            failed_on: None,
             deadline: Millis(u64::MAX),
             admitted: None,
             critical_path,
--- a/src/dispatch/run_ends.rs
+++ b/src/dispatch/run_ends.rs
@@ -7,7 +7,7 @@
 use super::replicated_state::{RunEnd, StateCommand};
 use super::reports::{send_recorded, server_with_life};
 use super::run_trace::RunProof;
-use super::spec::{JobId, RunOutcome, TaskId};
+use super::spec::{RunOutcome, TaskId};
 use super::worker::{PlacedRun, WorkerId};
 use crate::core::clock::Millis;
 use crate::events;
@@ -74,7 +74,7 @@
                     self.suspects.clear(end.task);
                     self.learn_duration(now, id, end.task, placed);
                 }
-                RunOutcome::Failed => self.judge_failure(now, id, end.task.job),
+                RunOutcome::Failed => self.workers[id.0].record_failure(now),
                 RunOutcome::Lost => {}
             }
         }
@@ -124,21 +124,6 @@
         recorded
     }
 
-    /// Counts the failure of a run against its worker, unless the job's runs fail on others as well:
-    /// a job that can't be done must not make each worker that tries it a failing one.
-    fn judge_failure(&mut self, now: Millis, id: WorkerId, job: JobId) {
-        let first = self
-            .jobs
-            .get_mut(&job)
-            .map_or(id, |job| *job.failed_on.get_or_insert(id));
-        let worker = &mut self.workers[id.0];
-        if first == id {
-            worker.record_failure(now);
-        } else {
-            worker.record_job_failure();
-        }
-    }
-
     pub(crate) fn learn_duration(
         &mut self,
         now: Millis,
--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -2,7 +2,7 @@
 
 use super::load::pace;
 use super::replicated_state::RunEnd;
-use super::spec::{QueueKey, Resources, RunId, RunOutcome, TaskId};
+use super::spec::{QueueKey, Resources, RunId, TaskId};
 use super::wire::Server;
 use crate::core::clock::Millis;
 use crate::core::table::Table;
@@ -25,8 +25,8 @@
 /// First and longest pause of a failing worker, in milliseconds; each further failure doubles it.
 const FIRST_PAUSE: Millis = Millis(500);
 const MAX_PAUSE: Millis = Millis(4_000);
-/// Longest trial of a failing worker, in milliseconds: a run that has lasted for so long shows that
-/// the worker does not fail at once what it starts.
+/// Longest trial of a failing worker, in milliseconds, and longest wait for runs before that: a run that
+/// has lasted for so long shows that the worker does not fail at once what it starts.
 const MAX_TRIAL: Millis = Millis(1_000);
 /// How long a worker that reported no free resources is passed over, in milliseconds, unless it
 /// reports other dispatchers' usage before.
@@ -123,11 +123,10 @@
     pub(crate) crashed_at: Option<Millis>,
     /// The isolated queue that it is kept for.
     pub(crate) kept_for: Option<QueueKey>,
-    // How the last run here ended that did not get lost.
-    last_outcome: RunOutcome,
-    // Consecutive failures that count against the worker, the end of the pause that followed from
-    // them, and the first run since.
+    // Consecutive failures, when the last of them was, the end of the pause that followed from them,
+    // and the first run since.
     failures_in_a_row: u32,
+    failed_at: Millis,
     paused_until: Millis,
     trial: Option<Trial>,
     // Highest number among the ends received, and the ends whose record is not yet committed.
@@ -158,8 +157,8 @@
             ended_life: None,
             crashed_at: None,
             kept_for: None,
-            last_outcome: RunOutcome::Done,
             failures_in_a_row: 0,
+            failed_at: Millis(0),
             paused_until: Millis(0),
             trial: None,
             last_end_number: 0,
@@ -258,7 +257,6 @@
 
     /// Notes a run that succeeded.
     pub(crate) fn record_success(&mut self) {
-        self.last_outcome = RunOutcome::Done;
         self.failures_in_a_row = 0;
         self.trial = None;
     }
@@ -321,15 +319,10 @@
         }
     }
 
-    /// Notes a run that failed for a reason that need not lie with the worker.
-    pub(crate) fn record_job_failure(&mut self) {
-        self.last_outcome = RunOutcome::Failed;
-    }
-
     /// Counts a failure, and pauses the worker after several consecutive ones.
     pub(crate) fn record_failure(&mut self, now: Millis) {
-        self.last_outcome = RunOutcome::Failed;
         self.trial = None;
+        self.failed_at = now;
         self.failures_in_a_row += 1;
         let Some(beyond) = self.failures_in_a_row.checked_sub(MAX_FAILURES) else {
             return;
@@ -340,22 +333,29 @@
 
     /// True if the last run that ended here failed.
     pub(crate) fn is_failing(&self) -> bool {
-        self.last_outcome == RunOutcome::Failed
+        self.failures_in_a_row > 0
     }
 
     /// Makes a run that was just ordered the trial of a failing worker. Runs that were ordered before
     /// the failure do not show whether the worker goes on failing.
     pub(crate) fn start_trial(&mut self, now: Millis, run: (TaskId, RunId)) {
-        if self.failures_in_a_row > 0 && self.trial.is_none() {
+        if self.is_failing() && self.trial.is_none() {
             let until = now + MAX_TRIAL;
             self.trial = Some(Trial { run, until });
         }
     }
 
-    /// True while a run here shows whether the worker goes on failing. It gets no other one until
-    /// then: a worker that fails all at once would else take all the work that waits.
+    /// True while a run here may show whether the worker goes on failing. It gets no other one until
+    /// then: a worker that fails all at once would else take all the work that waits. Runs that were
+    /// ordered before the failure are waited for as well, but their success alone shows something.
     pub(crate) fn is_on_trial(&self, now: Millis) -> bool {
-        self.trial.as_ref().is_some_and(|trial| now < trial.until)
+        match &self.trial {
+            Some(trial) => now < trial.until,
+            None => {
+                let has_failed_lately = now.since(self.failed_at) < MAX_TRIAL;
+                self.is_failing() && has_failed_lately && !self.runs.is_empty()
+            }
+        }
     }
 
     /// Returns true if no end with this number or a higher one has been received.
