--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -349,13 +349,11 @@
     /// then: a worker that fails all at once would else take all the work that waits. Runs that were
     /// ordered before the failure are waited for as well, but their success alone shows something.
     pub(crate) fn is_on_trial(&self, now: Millis) -> bool {
-        match &self.trial {
-            Some(trial) => now < trial.until,
-            None => {
-                let has_failed_lately = now.since(self.failed_at) < MAX_TRIAL;
-                self.is_failing() && has_failed_lately && !self.runs.is_empty()
-            }
+        if let Some(trial) = &self.trial {
+            return now < trial.until;
         }
+        let has_failed_lately = now.since(self.failed_at) < MAX_TRIAL;
+        self.is_failing() && has_failed_lately && !self.runs.is_empty()
     }
 
     /// Returns true if no end with this number or a higher one has been received.
