--- a/src/dispatch/worker.rs
+++ b/src/dispatch/worker.rs
@@ -345,9 +345,9 @@
         }
     }
 
-    /// True while a run here may show whether the worker goes on failing. It gets no other one until
-    /// then: a worker that fails all at once would else take all the work that waits. Runs that were
-    /// ordered before the failure are waited for as well, but their success alone shows something.
+    /// True while a failing worker gets no other run: during its trial, and before that while it may be
+    /// about to fail what it had when it failed last. A worker that fails all at once would else take
+    /// all the work that waits.
     pub(crate) fn is_on_trial(&self, now: Millis) -> bool {
         if let Some(trial) = &self.trial {
             return now < trial.until;
